--- /dev/null
+++ b/src/agent/AgentServer.ts
@@ -0,0 +1,227 @@
+import http from "node:http";
+import { SpanKind } from "@opentelemetry/api";
+import { WORK_RANKS, type WorkRank } from "../config/index.js";
+import { Cause, HopHeader, Outcome, copyEndToEndHeaders, getHeader, sendRefusal } from "../protocol/index.js";
+import { type Tracing, endSpan } from "../telemetry/index.js";
+import { isEqualInConstantTime } from "../utils/digest.js";
+import { readWholeBody, sendJson } from "../utils/http.js";
+import type { AgentCore, AgentRefusal, AttemptRequest } from "./AgentCore.js";
+import type { AttemptRecord } from "./AttemptLedger.js";
+import { AnswerEnd, type AnswerReader } from "./KeptAnswer.js";
+
+/** Options of the agent's data server. */
+export interface AgentServerOptions {
+    core: AgentCore;
+    tracing: Tracing;
+    processKeys: readonly string[];
+    maxBodyBytes: number;
+}
+
+const STATUS_UNAUTHORIZED = 401;
+const STATUS_BAD_REQUEST = 400;
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+const PROGRESS_MS = 400;
+const ATTEMPT_PATH = /^\/attempts\/([A-Za-z0-9-]{1,64})(\/.*)$/;
+const ANSWER_PATH = /^\/answers\/([A-Za-z0-9-]{1,64})\?from=(\d+)$/;
+
+/**
+ * Creates the server that takes attempts from routers, and hands out kept answers.
+ *
+ * `ANY /attempts/{id}/{path}` opens an attempt; `GET /answers/{id}?from={offset}` follows one.
+ * @param options - Core and keys.
+ */
+export function createAgentServer(options: AgentServerOptions): http.Server {
+    const { core, tracing } = options;
+    const silent = new Set<http.ServerResponse>();
+    const progress = setInterval(sendProgress, PROGRESS_MS);
+    const server = http.createServer((request, response) => {
+        if (!isAuthorized(request)) {
+            sendJson(response, STATUS_UNAUTHORIZED, { error: "expected a process key" });
+            return;
+        }
+        const attempt = ATTEMPT_PATH.exec(request.url ?? "");
+        const answer = ANSWER_PATH.exec(request.url ?? "");
+        if (attempt) {
+            void handleAttempt(request, response, attempt[1] ?? "", attempt[2] ?? "/");
+        } else if (answer) {
+            followAnswer(response, answer[1] ?? "", Number(answer[2]));
+        } else {
+            sendJson(response, STATUS_NOT_FOUND, { error: "expected an attempt or an answer" });
+        }
+    });
+    server.on("close", () => clearInterval(progress));
+    server.requestTimeout = 0;
+    return server;
+
+    function isAuthorized(request: http.IncomingMessage): boolean {
+        const key = getHeader(request.headers, HopHeader.ProcessKey) ?? "";
+        return options.processKeys.some(known => isEqualInConstantTime(known, key));
+    }
+
+    async function handleAttempt(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        id: string,
+        path: string,
+    ): Promise<void> {
+        let body: Buffer;
+        try {
+            body = await readWholeBody(request, options.maxBodyBytes);
+        } catch {
+            response.destroy();
+            return;
+        }
+        const attempt = readAttempt(request, id, path, body);
+        if (attempt === undefined) {
+            sendJson(response, STATUS_BAD_REQUEST, { error: "expected the headers of an attempt" });
+            return;
+        }
+        openAttempt(request, response, attempt);
+    }
+
+    function openAttempt(request: http.IncomingMessage, response: http.ServerResponse, attempt: AttemptRequest): void {
+        const parent = tracing.readContext(request.headers);
+        const span = tracing.startSpan("agent.attempt", SpanKind.SERVER, parent, { attempt: attempt.id });
+        const headers: Record<string, string> = {};
+        tracing.writeContext(span, headers);
+        Object.assign(attempt.endpoint.headers, headers);
+        silent.add(response);
+        response.on("close", () => {
+            silent.delete(response);
+            core.releaseAttempt(attempt.id);
+        });
+        core.acceptAttempt(attempt, {
+            onAccepted(record) {
+                if (response.destroyed && attempt.isIdempotent) {
+                    core.releaseAttempt(attempt.id);
+                }
+                attachReader(response, record, 0, end => endSpan(span, end === AnswerEnd.Whole ? undefined : end));
+            },
+            onRefused(refusal) {
+                endSpan(span, refusal.cause);
+                silent.delete(response);
+                refuseAttempt(response, refusal);
+            },
+        });
+    }
+
+    function refuseAttempt(response: http.ServerResponse, refusal: AgentRefusal): void {
+        response.setHeader(HopHeader.Load, encodeLoad(core));
+        sendRefusal(response, { status: STATUS_UNAVAILABLE, ...refusal });
+    }
+
+    function followAnswer(response: http.ServerResponse, id: string, offset: number): void {
+        const record = core.getAttempt(id);
+        if (record === undefined) {
+            sendJson(response, STATUS_NOT_FOUND, { error: "the attempt is not known" });
+            return;
+        }
+        silent.add(response);
+        response.on("close", () => {
+            silent.delete(response);
+            core.releaseAttempt(id);
+        });
+        attachReader(response, record, offset, () => undefined);
+    }
+
+    function attachReader(
+        response: http.ServerResponse,
+        record: AttemptRecord,
+        offset: number,
+        onEnd: (end: AnswerEnd) => void,
+    ): void {
+        const reader: AnswerReader = {
+            onHead(head) {
+                silent.delete(response);
+                const headers = { ...head.headers };
+                delete headers["content-length"];
+                response.writeHead(head.status, {
+                    ...headers,
+                    [HopHeader.Attempt]: record.id,
+                    [HopHeader.Load]: encodeLoad(core),
+                    trailer: HopHeader.Length,
+                });
+                response.flushHeaders();
+            },
+            onChunk: chunk => response.write(chunk),
+            onEnd(end, length) {
+                silent.delete(response);
+                onEnd(end);
+                finishResponse(response, end, length);
+            },
+        };
+        const removeReader = record.answer.addReader(reader, offset);
+        response.on("close", () => {
+            removeReader();
+            core.releaseAttempt(record.id);
+        });
+    }
+
+    /** Shows routers that a silent attempt is alive. */
+    function sendProgress(): void {
+        for (const response of silent) {
+            if (!response.headersSent && !response.destroyed) {
+                response.writeProcessing();
+            }
+        }
+    }
+}
+
+function finishResponse(response: http.ServerResponse, end: AnswerEnd, length: number): void {
+    if (end === AnswerEnd.Whole) {
+        response.addTrailers({ [HopHeader.Length]: String(length) });
+        response.end();
+    } else if (response.headersSent) {
+        response.destroy();
+    } else {
+        sendRefusal(response, {
+            status: STATUS_UNAVAILABLE,
+            outcome: end === AnswerEnd.NeverStarted ? Outcome.NotRun : Outcome.Unknown,
+            cause: Cause.EndpointFailed,
+            detail: "the endpoint gave no answer",
+            retryAfterMs: undefined,
+        });
+    }
+}
+
+function readAttempt(
+    request: http.IncomingMessage,
+    id: string,
+    path: string,
+    body: Buffer,
+): AttemptRequest | undefined {
+    const rank = getHeader(request.headers, HopHeader.Rank) as WorkRank;
+    const budgetMs = Number(getHeader(request.headers, HopHeader.Budget));
+    const weight = Number(getHeader(request.headers, HopHeader.Weight));
+    const cost = Number(getHeader(request.headers, HopHeader.Cost));
+    const team = getHeader(request.headers, HopHeader.Team);
+    const isValid = WORK_RANKS.includes(rank) && budgetMs > 0 && weight > 0 && cost > 0 && team !== undefined;
+    if (!isValid) {
+        return undefined;
+    }
+    return {
+        id,
+        team,
+        weight,
+        rank,
+        budgetMs,
+        isIdempotent: getHeader(request.headers, HopHeader.Idempotent) === "1",
+        keyDigest: getHeader(request.headers, HopHeader.KeyDigest) ?? "",
+        cost,
+        incarnation: getHeader(request.headers, HopHeader.Incarnation) ?? "",
+        endpoint: {
+            attempt: id,
+            method: request.method ?? "POST",
+            path,
+            headers: { ...copyEndToEndHeaders(request.headers, ["content-length"]), "x-team": team },
+            body,
+            isUsageWanted: false,
+        },
+    };
+}
+
+function encodeLoad(core: AgentCore): string {
+    const load = core.getLoad();
+    return `${load.queued},${load.running},${load.isDraining ? 1 : 0}`;
+}
--- /dev/null
+++ b/src/agent/EndpointRun.ts
@@ -0,0 +1,139 @@
+import http from "node:http";
+import { copyEndToEndHeaders, getHeader } from "../protocol/index.js";
+import { type AnswerCheck, createEventStreamCheck, createFramedCheck } from "./AnswerCheck.js";
+import { AnswerEnd, type KeptAnswer } from "./KeptAnswer.js";
+
+/** What became of a request sent to the endpoint. */
+export enum RunResult {
+    Whole = "whole",
+    /** The endpoint had the request, and gave no whole answer. */
+    Broken = "broken",
+    /** The endpoint never had the request. */
+    NeverSent = "never-sent",
+}
+
+/** A request for the endpoint. */
+export interface EndpointRequest {
+    attempt: string;
+    method: string;
+    path: string;
+    headers: Record<string, string | string[]>;
+    body: Buffer;
+    isUsageWanted: boolean;
+}
+
+/** Options of a run. */
+export interface EndpointRunOptions {
+    endpointUrl: string;
+    agent: http.Agent;
+    request: EndpointRequest;
+    answer: KeptAnswer;
+    /** Longest silence after the first byte, in milliseconds. */
+    stallMs: number;
+    onFirstByte: () => void;
+}
+
+/** A request in progress at the endpoint. */
+export interface EndpointRun {
+    /** Settles when the run has ended. */
+    result: Promise<EndpointRunEnd>;
+    /** Cancels the run at the endpoint. */
+    cancel(): void;
+}
+
+/** End of a run, with the reason of a failure. */
+export interface EndpointRunEnd {
+    result: RunResult;
+    fault?: string;
+}
+
+const REQUEST_ID = "x-request-id";
+const END_OF_RESULT: Record<RunResult, AnswerEnd> = {
+    [RunResult.Whole]: AnswerEnd.Whole,
+    [RunResult.Broken]: AnswerEnd.Broken,
+    [RunResult.NeverSent]: AnswerEnd.NeverStarted,
+};
+
+/**
+ * Sends a request to the endpoint, once, and fills the kept answer.
+ * @param options - Request, answer and bounds.
+ */
+export function startEndpointRun(options: EndpointRunOptions): EndpointRun {
+    const { request, answer } = options;
+    const outgoing = http.request(new URL(request.path, options.endpointUrl), {
+        method: request.method,
+        headers: { ...request.headers, [REQUEST_ID]: request.attempt, "content-length": request.body.length },
+        agent: options.agent,
+    });
+    let isCancelled = false;
+    const result = new Promise<EndpointRunEnd>(resolve => {
+        outgoing.on("error", error => resolve(createFailure(error)));
+        outgoing.on("response", response => readAnswer(response, resolve));
+    });
+    outgoing.end(request.body);
+    return {
+        result: result.then(end => {
+            answer.finish(END_OF_RESULT[end.result]);
+            return end;
+        }),
+        cancel() {
+            isCancelled = true;
+            outgoing.destroy(new Error("cancelled"));
+        },
+    };
+
+    /** A connection that was refused, or reused and closed before it took the request, carried nothing. */
+    function createFailure(error: NodeJS.ErrnoException): EndpointRunEnd {
+        const isNeverSent = !isCancelled && error.code === "ECONNREFUSED";
+        return { result: isNeverSent ? RunResult.NeverSent : RunResult.Broken, fault: error.message };
+    }
+
+    function readAnswer(response: http.IncomingMessage, resolve: (end: EndpointRunEnd) => void): void {
+        const echoed = getHeader(response.headers, REQUEST_ID);
+        if (echoed !== undefined && echoed !== request.attempt) {
+            failRun("the answer of another request came");
+            return;
+        }
+        const check = createCheck(response);
+        let stallTimer = restartStallTimer(undefined);
+        options.onFirstByte();
+        answer.setHead({ status: response.statusCode ?? 0, headers: copyEndToEndHeaders(response.headers) });
+        response.on("data", (chunk: Buffer) => {
+            stallTimer = restartStallTimer(stallTimer);
+            const part = check.checkChunk(chunk);
+            if (part.passed.length > 0) {
+                answer.addChunk(part.passed);
+            }
+            if (part.fault !== undefined) {
+                failRun(part.fault);
+            }
+        });
+        response.on("error", error => failRun(error.message));
+        response.on("close", () => {
+            clearTimeout(stallTimer);
+            const fault = response.complete ? check.checkEnd() : "the connection closed in the middle";
+            resolve(fault === undefined ? { result: RunResult.Whole } : { result: RunResult.Broken, fault });
+        });
+
+        function failRun(fault: string): void {
+            clearTimeout(stallTimer);
+            resolve({ result: RunResult.Broken, fault });
+            response.destroy();
+        }
+
+        function restartStallTimer(timer: NodeJS.Timeout | undefined): NodeJS.Timeout {
+            if (timer !== undefined) {
+                timer.refresh();
+                return timer;
+            }
+            return setTimeout(() => failRun("the endpoint went silent"), options.stallMs);
+        }
+    }
+
+    function createCheck(response: http.IncomingMessage): AnswerCheck {
+        const type = getHeader(response.headers, "content-type") ?? "";
+        return type.startsWith("text/event-stream")
+            ? createEventStreamCheck({ isUsageWanted: request.isUsageWanted })
+            : createFramedCheck();
+    }
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,3 @@
+export * from "./trpc.js";
+export * from "./ControlServer.js";
+export * from "./ControlClient.js";
--- /dev/null
+++ b/src/errors/index.ts
@@ -0,0 +1,3 @@
+export { ErrorCode } from "./ErrorCode.js";
+export { createError, hasErrorCode } from "./createError.js";
+export type { ErrorStructure } from "./createError.js";
--- /dev/null
+++ b/src/membership/PeerExchange.ts
@@ -0,0 +1,162 @@
+import { type ControlClient, createControlClient } from "../control/index.js";
+import type { PeerMessage, RouterControl } from "../router/routerControl.js";
+import type { StoredDocument } from "../config/index.js";
+import { EventId, type Logger } from "../telemetry/index.js";
+import { type Loop, startLoop } from "../utils/time.js";
+import { type EndpointTable, FactOrigin } from "./EndpointTable.js";
+import type { Peer, PeerDirectory } from "./PeerDirectory.js";
+
+/** Options of the exchange between routers. */
+export interface PeerExchangeOptions {
+    host: string;
+    zone: string;
+    processKey: string;
+    peers: PeerDirectory;
+    table: EndpointTable;
+    getDocumentVersion: () => number;
+    listSuspects: () => PeerMessage["suspects"];
+    onDocument: (stored: StoredDocument, from: string) => void;
+    logger: Logger;
+}
+
+/** Version that a peer has in force; undefined if it can't be reached. */
+export interface PeerVersion {
+    host: string;
+    version: number | undefined;
+}
+
+/** Exchange of endpoint facts, document versions and suspects between routers. */
+export interface PeerExchange {
+    /** Sends the news at once, in place of at the next tick. */
+    sendNow(): Promise<void>;
+    /** Reacts to the version that a peer has announced. */
+    handleVersion(host: string, version: number): void;
+    /** Asks every peer for the version that it has in force. */
+    queryVersions(): Promise<PeerVersion[]>;
+    stop(): Promise<void>;
+}
+
+interface PeerLink {
+    client: ControlClient<RouterControl>;
+    place: string;
+    /** Version of the table that the peer has. */
+    sentVersion: number;
+    isFailing: boolean;
+}
+
+const TICK_MS = 1_000;
+const CALL_TIMEOUT_MS = 800;
+const PEERS_PER_OTHER_ZONE = 1;
+/** Facts heard from the own zone are known there; facts of other zones are passed on inside the zone only. */
+const ORIGINS_FOR_OWN_ZONE = [FactOrigin.Agent, FactOrigin.OtherZone];
+const ORIGINS_FOR_OTHER_ZONES = [FactOrigin.Agent];
+
+/**
+ * Starts the exchange.
+ * @param options - Identity, table and receivers.
+ */
+export function startPeerExchange(options: PeerExchangeOptions): PeerExchange {
+    const links = new Map<string, PeerLink>();
+    const loop: Loop = startLoop(TICK_MS, sendNow, error => options.logger.logFailure(EventId.TaskFailed, error));
+    return { sendNow, handleVersion, queryVersions, stop };
+
+    async function sendNow(): Promise<void> {
+        await Promise.all(chooseTargets().map(sendTo));
+    }
+
+    /** All routers of the own zone, and of each other zone one that differs from host to host. */
+    function chooseTargets(): Peer[] {
+        const peers = options.peers.listPeers();
+        const own = peers.filter(peer => peer.zone === options.zone);
+        const otherZones = new Set(peers.map(peer => peer.zone).filter(zone => zone !== options.zone));
+        const others = [...otherZones].flatMap(zone =>
+            options.peers
+                .choosePeers(options.host, zone, peers.length)
+                .filter(peer => peer.zone === zone && links.get(peer.host)?.isFailing !== true)
+                .slice(0, PEERS_PER_OTHER_ZONE),
+        );
+        return [...own, ...others];
+    }
+
+    async function sendTo(peer: Peer): Promise<void> {
+        const link = getLink(peer);
+        const origins = peer.zone === options.zone ? ORIGINS_FOR_OWN_ZONE : ORIGINS_FOR_OTHER_ZONES;
+        const changes = options.table.listFactsAfter(link.sentVersion, origins);
+        const message: PeerMessage = {
+            host: options.host,
+            zone: options.zone,
+            documentVersion: options.getDocumentVersion(),
+            facts: changes.facts,
+            suspects: options.listSuspects(),
+        };
+        try {
+            const answer = await link.client.call(
+                (control, signal) => control.exchange.mutate(message, { signal }),
+                CALL_TIMEOUT_MS,
+            );
+            link.sentVersion = changes.version;
+            link.isFailing = false;
+            handleVersion(peer.host, answer.documentVersion);
+        } catch {
+            link.isFailing = !link.isFailing;
+        }
+    }
+
+    function handleVersion(host: string, version: number): void {
+        if (version > options.getDocumentVersion()) {
+            void fetchDocument(host);
+        }
+    }
+
+    async function fetchDocument(host: string): Promise<void> {
+        const peer = options.peers.listPeers().find(candidate => candidate.host === host);
+        if (peer === undefined) {
+            return;
+        }
+        try {
+            const stored = await getLink(peer).client.call(
+                (control, signal) => control.getDocument.query(undefined, { signal }),
+                CALL_TIMEOUT_MS,
+            );
+            if (stored !== undefined) {
+                options.onDocument(stored, host);
+            }
+        } catch (error) {
+            options.logger.logFailure(EventId.TaskFailed, error, { peer: host });
+        }
+    }
+
+    function queryVersions(): Promise<PeerVersion[]> {
+        return Promise.all(options.peers.listPeers().map(queryVersion));
+    }
+
+    async function queryVersion(peer: Peer): Promise<PeerVersion> {
+        try {
+            const answer = await getLink(peer).client.call(
+                (control, signal) => control.getVersion.query(undefined, { signal }),
+                CALL_TIMEOUT_MS,
+            );
+            return { host: peer.host, version: answer.version };
+        } catch {
+            return { host: peer.host, version: undefined };
+        }
+    }
+
+    function getLink(peer: Peer): PeerLink {
+        const place = `${peer.address}:${peer.port}`;
+        const known = links.get(peer.host);
+        if (known?.place === place) {
+            return known;
+        }
+        known?.client.close();
+        const client = createControlClient<RouterControl>(place, options.processKey);
+        const link = { client, place, sentVersion: 0, isFailing: false };
+        links.set(peer.host, link);
+        return link;
+    }
+
+    async function stop(): Promise<void> {
+        await loop.stop();
+        links.forEach(link => link.client.close());
+    }
+}
--- /dev/null
+++ b/src/platform/HttpKeyValueService.ts
@@ -0,0 +1,211 @@
+import http from "node:http";
+import { ErrorCode, createError } from "../errors/index.js";
+import { type HttpAnswer, sendHttpCall } from "../utils/http.js";
+import {
+    type KeyValueEntry,
+    KeyValueService,
+    type SwapAnswer,
+    type SwapOptions,
+    type WatchAnswer,
+} from "./KeyValueService.js";
+
+/** Options of the HTTP client of the key-value service. */
+export interface HttpKeyValueOptions {
+    url: string;
+    /** Time allowed for one call, in milliseconds. */
+    timeoutMs?: number;
+}
+
+interface WireEntry {
+    key: string;
+    value?: string;
+    mod_revision?: string;
+}
+
+interface WireSwapAnswer {
+    succeeded?: boolean;
+    header: { revision: string };
+    responses?: { response_range?: { kvs?: WireEntry[] } }[];
+}
+
+interface WireWatchAnswer {
+    result: { header: { revision: string }; events?: { type?: string; kv: WireEntry }[] };
+}
+
+const DEFAULT_TIMEOUT_MS = 1_000;
+const STATUS_OK = 200;
+const STATUS_TOO_MANY = 429;
+const MAX_SOCKETS = 16;
+
+/**
+ * Creates a client that speaks the JSON form of the etcd v3 protocol.
+ * @param options - Address and bounds.
+ */
+export function createHttpKeyValueService(options: HttpKeyValueOptions): KeyValueService {
+    const agent = new http.Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
+    const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+
+    return new (class HttpKeyValueService extends KeyValueService {
+        override async getEntry(key: string): Promise<KeyValueEntry | undefined> {
+            const answer = await post<{ kvs?: WireEntry[] }>("/v3/kv/range", { key: encodeText(key) });
+            const entry = answer.kvs?.[0];
+            return entry && readEntry(entry);
+        }
+
+        override async listEntries(prefix: string): Promise<KeyValueEntry[]> {
+            const answer = await post<{ kvs?: WireEntry[] }>("/v3/kv/range", encodeRange(prefix));
+            return (answer.kvs ?? []).map(readEntry);
+        }
+
+        override async swapEntry(swap: SwapOptions): Promise<SwapAnswer> {
+            const answer = await post<WireSwapAnswer>("/v3/kv/txn", encodeSwap(swap));
+            if (answer.succeeded === true) {
+                return { applied: true, current: createWrittenEntry(swap, Number(answer.header.revision)) };
+            }
+            const entry = answer.responses?.[0]?.response_range?.kvs?.[0];
+            return { applied: false, current: entry && readEntry(entry) };
+        }
+
+        override async grantLease(ttlMs: number): Promise<string> {
+            const seconds = Math.max(1, Math.ceil(ttlMs / 1_000));
+            const answer = await post<{ ID: string }>("/v3/lease/grant", { TTL: String(seconds) });
+            return answer.ID;
+        }
+
+        override async renewLease(leaseId: string): Promise<boolean> {
+            const answer = await post<{ result: { TTL?: string } }>("/v3/lease/keepalive", { ID: leaseId });
+            return Number(answer.result.TTL ?? "0") > 0;
+        }
+
+        override watchEntries(prefix: string, afterRevision: number, waitMs: number): Promise<WatchAnswer> {
+            const range = encodeRange(prefix);
+            const body = JSON.stringify({ create_request: { ...range, start_revision: String(afterRevision + 1) } });
+            return readFirstEvents(new URL("/v3/watch", options.url), body, afterRevision, waitMs);
+        }
+    })();
+
+    async function post<T>(path: string, body: unknown): Promise<T> {
+        const answer = await callPlatform(path, JSON.stringify(body));
+        if (answer.status !== STATUS_OK) {
+            const isWithoutEffect = answer.status === STATUS_TOO_MANY;
+            throw createError({
+                code: isWithoutEffect ? ErrorCode.PlatformUnavailable : ErrorCode.PlatformUncertain,
+                expected: `an answer of the key-value service to ${path}`,
+                got: `status ${answer.status}`,
+            });
+        }
+        return JSON.parse(answer.body.toString("utf8")) as T;
+    }
+
+    async function callPlatform(path: string, body: string): Promise<HttpAnswer> {
+        const headers = { "content-type": "application/json" };
+        try {
+            return await sendHttpCall({
+                method: "POST",
+                url: new URL(path, options.url),
+                headers,
+                body,
+                timeoutMs,
+                agent,
+            });
+        } catch (error) {
+            const isNeverSent = (error as NodeJS.ErrnoException).code === "ECONNREFUSED";
+            throw createError({
+                code: isNeverSent ? ErrorCode.PlatformUnavailable : ErrorCode.PlatformUncertain,
+                expected: `an answer of the key-value service to ${path}`,
+                got: error instanceof Error ? error.message : String(error),
+                cause: error,
+            });
+        }
+    }
+}
+
+function readFirstEvents(url: URL, body: string, afterRevision: number, waitMs: number): Promise<WatchAnswer> {
+    return new Promise((resolve, reject) => {
+        const request = http.request(url, { method: "POST", headers: { "content-type": "application/json" } });
+        const timer = setTimeout(() => finish({ revision: afterRevision, changed: [], deleted: [] }), waitMs);
+        let text = "";
+        request.on("error", fail);
+        request.on("response", response => {
+            if (response.statusCode !== STATUS_OK) {
+                fail(new Error(`status ${response.statusCode}`));
+                return;
+            }
+            response.setEncoding("utf8");
+            response.on("error", fail);
+            response.on("end", () => fail(new Error("the watch was closed")));
+            response.on("data", (chunk: string) => {
+                text += chunk;
+                const lines = text.split("\n");
+                text = lines.pop() ?? "";
+                const answers = lines.filter(line => line !== "").map(line => JSON.parse(line) as WireWatchAnswer);
+                const withEvents = answers.filter(answer => (answer.result.events ?? []).length > 0);
+                if (withEvents.length > 0) {
+                    finish(readWatchAnswer(withEvents));
+                }
+            });
+        });
+        request.end(body);
+
+        function finish(answer: WatchAnswer): void {
+            clearTimeout(timer);
+            request.destroy();
+            resolve(answer);
+        }
+
+        function fail(error: Error): void {
+            clearTimeout(timer);
+            request.destroy();
+            const code = ErrorCode.PlatformUnavailable;
+            reject(createError({ code, expected: "events of a watch", got: error.message, cause: error }));
+        }
+    });
+}
+
+function readWatchAnswer(answers: WireWatchAnswer[]): WatchAnswer {
+    const events = answers.flatMap(answer => answer.result.events ?? []);
+    const revision = Math.max(...answers.map(answer => Number(answer.result.header.revision)));
+    const isDeletion = (event: { type?: string }): boolean => event.type === "DELETE";
+    return {
+        revision,
+        changed: events.filter(event => !isDeletion(event)).map(event => readEntry(event.kv)),
+        deleted: events.filter(isDeletion).map(event => decodeText(event.kv.key)),
+    };
+}
+
+function encodeSwap(swap: SwapOptions): unknown {
+    const key = encodeText(swap.key);
+    const write =
+        swap.value === undefined
+            ? { request_delete_range: { key } }
+            : { request_put: { key, value: encodeText(swap.value), lease: swap.leaseId } };
+    return {
+        compare: [{ key, target: "MOD", result: "EQUAL", mod_revision: String(swap.expectedRevision) }],
+        success: [write],
+        failure: [{ request_range: { key } }],
+    };
+}
+
+function createWrittenEntry(swap: SwapOptions, revision: number): KeyValueEntry | undefined {
+    return swap.value === undefined ? undefined : { key: swap.key, value: swap.value, revision };
+}
+
+function encodeRange(prefix: string): { key: string; range_end: string } {
+    return { key: encodeText(prefix), range_end: encodeText(`${prefix}\u{10ffff}`) };
+}
+
+function encodeText(text: string): string {
+    return Buffer.from(text, "utf8").toString("base64");
+}
+
+function decodeText(text: string): string {
+    return Buffer.from(text, "base64").toString("utf8");
+}
+
+function readEntry(entry: WireEntry): KeyValueEntry {
+    return {
+        key: decodeText(entry.key),
+        value: decodeText(entry.value ?? ""),
+        revision: Number(entry.mod_revision ?? "0"),
+    };
+}
--- /dev/null
+++ b/src/platform/KeyValueService.ts
@@ -0,0 +1,81 @@
+/** An entry of the platform's key-value service. */
+export interface KeyValueEntry {
+    key: string;
+    value: string;
+    /** Revision of the last write to the key; 0 stands for an absent key. */
+    revision: number;
+}
+
+/** A compare-and-swap on one key. */
+export interface SwapOptions {
+    key: string;
+    /** Revision that the key must have; 0 for an absent key. */
+    expectedRevision: number;
+    /** New value; undefined deletes the key. */
+    value: string | undefined;
+    /** Lease whose end deletes the key. */
+    leaseId?: string;
+}
+
+/** Answer to a compare-and-swap. */
+export interface SwapAnswer {
+    applied: boolean;
+    /** Entry after the call; undefined if the key is absent. */
+    current: KeyValueEntry | undefined;
+}
+
+/** Answer to a watch: entries changed after a revision. */
+export interface WatchAnswer {
+    /** Revision up to which the changes are known. */
+    revision: number;
+    changed: KeyValueEntry[];
+    deleted: string[];
+}
+
+/**
+ * The platform's key-value service.
+ *
+ * Every method rejects with `PlatformUnavailable` when the call certainly had no effect,
+ * and with `PlatformUncertain` when the answer was lost.
+ */
+export abstract class KeyValueService {
+    /**
+     * Gets an entry.
+     * @param key - Key of the entry.
+     */
+    abstract getEntry(key: string): Promise<KeyValueEntry | undefined>;
+
+    /**
+     * Lists the entries whose key starts with a prefix.
+     * @param prefix - Prefix of the keys.
+     */
+    abstract listEntries(prefix: string): Promise<KeyValueEntry[]>;
+
+    /**
+     * Writes or deletes a key if its revision is the expected one.
+     * @param options - Key, expected revision and new value.
+     */
+    abstract swapEntry(options: SwapOptions): Promise<SwapAnswer>;
+
+    /**
+     * Grants a lease.
+     * @param ttlMs - Time to live in milliseconds.
+     * @returns Identifier of the lease.
+     */
+    abstract grantLease(ttlMs: number): Promise<string>;
+
+    /**
+     * Renews a lease.
+     * @param leaseId - Identifier of the lease.
+     * @returns False if the lease has ended.
+     */
+    abstract renewLease(leaseId: string): Promise<boolean>;
+
+    /**
+     * Waits for changes below a prefix.
+     * @param prefix - Prefix of the keys.
+     * @param afterRevision - Changes after this revision are wanted.
+     * @param timeoutMs - Longest wait in milliseconds; an empty answer ends it.
+     */
+    abstract watchEntries(prefix: string, afterRevision: number, timeoutMs: number): Promise<WatchAnswer>;
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,5 @@
+export * from "./KeyValueService.js";
+export * from "./HostList.js";
+export { createHttpKeyValueService } from "./HttpKeyValueService.js";
+export { createHttpHostList } from "./HttpHostList.js";
+export { swapSurely } from "./swapSurely.js";
--- /dev/null
+++ b/src/router/RouterServer.ts
@@ -0,0 +1,212 @@
+import http from "node:http";
+import type { Duplex } from "node:stream";
+import { SpanKind } from "@opentelemetry/api";
+import type { DocumentIndex } from "../config/index.js";
+import { Cause, Outcome, type Refusal, sendRefusal } from "../protocol/index.js";
+import { EventId, endSpan } from "../telemetry/index.js";
+import { readMonotonicMs } from "../utils/time.js";
+import type { Exchange } from "./Exchange.js";
+import type { RouterContext } from "./RouterContext.js";
+import { createAdmit } from "./filters/admit.js";
+import { createClassify } from "./filters/classify.js";
+import { createExecute } from "./filters/execute.js";
+import { createIdentify } from "./filters/identify.js";
+import { createReadBody } from "./filters/readBody.js";
+import { runPipeline } from "./pipeline.js";
+
+/** What became of an exchange, for the account. */
+export interface SettledExchange {
+    exchange: Exchange;
+    refusal: Refusal | undefined;
+    endedAt: number;
+}
+
+/** Options of the server for callers. */
+export interface RouterServerOptions {
+    context: RouterContext;
+    getIndex: () => DocumentIndex | undefined;
+    limits: { bodyBytes: number; bodyMs: number; concurrent: number };
+    onSettled: (settled: SettledExchange) => void;
+}
+
+/** The server for callers. */
+export interface RouterServer {
+    server: http.Server;
+    /** Requests in progress. */
+    getConcurrent(): number;
+    /** Fails the health check, so that the balancer turns away. */
+    startDraining(): void;
+    /** Refuses new requests from now on. */
+    refuseNew(): void;
+    isDraining(): boolean;
+}
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_ERROR = 500;
+const STATUS_CALLER_GONE = 499;
+const NO_DOCUMENT_RETRY_MS = 1_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_MS = 65_000;
+const MAX_HEADER_BYTES = 16_384;
+
+/**
+ * Creates the server that callers speak to.
+ * @param options - Context and limits.
+ */
+export function createRouterServer(options: RouterServerOptions): RouterServer {
+    const { context, limits } = options;
+    let concurrent = 0;
+    let isDraining = false;
+    let isClosed = false;
+    const filters = [
+        createAdmit({ getConcurrent: () => concurrent, maxConcurrent: limits.concurrent, isClosed: () => isClosed }),
+        createIdentify(),
+        createReadBody({ maxBytes: limits.bodyBytes, maxMs: limits.bodyMs }),
+        createClassify(),
+        createExecute(context),
+    ];
+    const server = http.createServer(
+        { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: HEADERS_TIMEOUT_MS },
+        (request, response) => void handle(request, response),
+    );
+    server.requestTimeout = 0;
+    server.on("clientError", rejectMalformed);
+    return {
+        server,
+        getConcurrent: () => concurrent,
+        startDraining() {
+            isDraining = true;
+        },
+        refuseNew() {
+            isClosed = true;
+        },
+        isDraining: () => isDraining,
+    };
+
+    async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        response.on("error", () => undefined);
+        if (request.url === "/healthz") {
+            response.writeHead(isDraining ? STATUS_UNAVAILABLE : STATUS_OK, { connection: "close" }).end();
+            return;
+        }
+        if (isDraining) {
+            response.setHeader("connection", "close");
+        }
+        const index = options.getIndex();
+        if (index === undefined) {
+            sendRefusal(response, createNoDocument());
+            return;
+        }
+        concurrent++;
+        const exchange = createExchange(request, response, index);
+        response.setHeader("x-trace-id", exchange.traceId);
+        const refusal = await runGuarded(exchange);
+        concurrent--;
+        settle(exchange, refusal);
+    }
+
+    function createExchange(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        index: DocumentIndex,
+    ): Exchange {
+        const parent = context.tracing.readContext(request.headers);
+        const span = context.tracing.startSpan("router.request", SpanKind.SERVER, parent, { path: request.url ?? "" });
+        return {
+            request,
+            response,
+            span,
+            traceId: span.spanContext().traceId,
+            arrivedAt: readMonotonicMs(),
+            index,
+            team: undefined,
+            body: Buffer.alloc(0),
+            target: undefined,
+            idempotencyKey: "",
+            firstByteAt: undefined,
+            attempts: 0,
+            hosts: [],
+            isCallerGone: false,
+            failure: undefined,
+        };
+    }
+
+    /** A fault of the program itself ends one request only, with an outcome that claims nothing. */
+    async function runGuarded(exchange: Exchange): Promise<Refusal | undefined> {
+        try {
+            return await runPipeline(filters, exchange);
+        } catch (error) {
+            context.logger.logFailure(EventId.RequestFailed, error, { trace: exchange.traceId });
+            return createFailure(exchange);
+        }
+    }
+
+    function settle(exchange: Exchange, refusal: Refusal | undefined): void {
+        const { response, span } = exchange;
+        if (refusal !== undefined && !response.headersSent && !response.destroyed) {
+            closeUnreadBody(exchange);
+            sendRefusal(response, refusal, exchange.traceId);
+        }
+        const outcome = refusal?.outcome ?? Outcome.Ran;
+        const cause = refusal?.cause ?? exchange.failure ?? (exchange.isCallerGone ? Cause.CallerGone : Cause.None);
+        context.metrics.requests.inc({ rank: exchange.target?.rank ?? "none", outcome, cause });
+        if (exchange.firstByteAt !== undefined && exchange.target !== undefined) {
+            const seconds = (exchange.firstByteAt - exchange.arrivedAt) / 1_000;
+            context.metrics.firstByteSeconds.observe({ rank: exchange.target.rank }, seconds);
+        }
+        if (cause !== Cause.None) {
+            const facts = { trace: exchange.traceId, team: exchange.team?.name, outcome, cause };
+            context.logger.logEvent(EventId.RequestRefused, facts);
+        }
+        span.setAttributes({ outcome, cause, team: exchange.team?.name ?? "" });
+        endSpan(span, cause === Cause.None ? undefined : cause);
+        options.onSettled({ exchange, refusal, endedAt: readMonotonicMs() });
+    }
+
+    /** A body that was not read to its end makes the connection useless. */
+    function closeUnreadBody(exchange: Exchange): void {
+        if (!exchange.request.complete) {
+            exchange.response.setHeader("connection", "close");
+        }
+    }
+}
+
+function rejectMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (error.code === "ECONNRESET" || !socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
+    const status = isTooLarge ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    const body = JSON.stringify({
+        type: `urn:auburnpass:cause:${Cause.MalformedRequest}`,
+        title: "malformed request",
+        status: isTooLarge ? 431 : 400,
+        detail: "expected a well-formed HTTP request",
+        outcome: Outcome.NotRun,
+        cause: Cause.MalformedRequest,
+    });
+    const head = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/problem+json`;
+    socket.end(`${head}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+}
+
+function createNoDocument(): Refusal {
+    return {
+        status: STATUS_UNAVAILABLE,
+        outcome: Outcome.NotRun,
+        cause: Cause.NoDocument,
+        detail: "this host has no environment document yet",
+        retryAfterMs: NO_DOCUMENT_RETRY_MS,
+    };
+}
+
+function createFailure(exchange: Exchange): Refusal {
+    return {
+        status: exchange.isCallerGone ? STATUS_CALLER_GONE : STATUS_ERROR,
+        outcome: exchange.target === undefined ? Outcome.NotRun : Outcome.Unknown,
+        cause: Cause.EndpointFailed,
+        detail: "the host failed while it worked on the request",
+        retryAfterMs: NO_DOCUMENT_RETRY_MS,
+    };
+}
--- /dev/null
+++ b/src/router/filters/execute.ts
@@ -0,0 +1,42 @@
+import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
+import { isReady } from "../Exchange.js";
+import type { RouterContext } from "../RouterContext.js";
+import type { Filter } from "../pipeline.js";
+import { runOnce } from "./runOnce.js";
+import { runRepeatable } from "./runRepeatable.js";
+
+const STATUS_ERROR = 500;
+
+/**
+ * Creates the last filter, which gets the answer from the endpoints.
+ * @param context - Router.
+ */
+export function createExecute(context: RouterContext): Filter {
+    return async exchange => {
+        if (!isReady(exchange)) {
+            return createBug();
+        }
+        const controller = new AbortController();
+        exchange.response.on("close", () => {
+            if (!exchange.response.writableFinished) {
+                exchange.isCallerGone = true;
+                if (exchange.target.isIdempotent) {
+                    controller.abort();
+                }
+            }
+        });
+        return exchange.target.isIdempotent
+            ? runRepeatable(context, exchange, controller.signal)
+            : runOnce(context, exchange, controller.signal);
+    };
+}
+
+function createBug(): Refusal {
+    return {
+        status: STATUS_ERROR,
+        outcome: Outcome.NotRun,
+        cause: Cause.MalformedRequest,
+        detail: "expected a classified request",
+        retryAfterMs: undefined,
+    };
+}
--- /dev/null
+++ b/src/router/filters/readBody.ts
@@ -0,0 +1,65 @@
+import type http from "node:http";
+import { ErrorCode, hasErrorCode } from "../../errors/index.js";
+import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
+import { readWholeBody } from "../../utils/http.js";
+import type { Filter } from "../pipeline.js";
+
+/** Bounds of a request's body. */
+export interface ReadBodyOptions {
+    maxBytes: number;
+    /** Time allowed for the whole body, in milliseconds. */
+    maxMs: number;
+}
+
+const STATUS_BAD_REQUEST = 400;
+const STATUS_TIMEOUT = 408;
+const STATUS_TOO_LARGE = 413;
+
+/**
+ * Creates the filter that reads the body within bounds.
+ * @param options - Bounds.
+ */
+export function createReadBody(options: ReadBodyOptions): Filter {
+    return async exchange => {
+        const announced = Number(exchange.request.headers["content-length"] ?? "0");
+        if (announced > options.maxBytes) {
+            return createTooLarge(options);
+        }
+        try {
+            exchange.body = await readWithin(exchange.request, options);
+            return undefined;
+        } catch (error) {
+            if (hasErrorCode(error, ErrorCode.TooLarge)) {
+                return createTooLarge(options);
+            }
+            if (hasErrorCode(error, ErrorCode.Timeout)) {
+                const detail = `expected the whole body within ${options.maxMs} ms`;
+                return createRefusal(STATUS_TIMEOUT, Cause.BodyTooSlow, detail);
+            }
+            return createRefusal(STATUS_BAD_REQUEST, Cause.MalformedRequest, "expected a whole body");
+        }
+    };
+}
+
+function readWithin(request: http.IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
+    return new Promise((resolve, reject) => {
+        const timer = setTimeout(() => reject(createTimeout()), options.maxMs);
+        readWholeBody(request, options.maxBytes)
+            .then(resolve, reject)
+            .finally(() => clearTimeout(timer));
+    });
+}
+
+function createTimeout(): Error {
+    const error = new Error("the body is too slow");
+    error.name = ErrorCode.Timeout;
+    return error;
+}
+
+function createTooLarge(options: ReadBodyOptions): Refusal {
+    return createRefusal(STATUS_TOO_LARGE, Cause.BodyTooLarge, `expected at most ${options.maxBytes} bytes`);
+}
+
+function createRefusal(status: number, cause: Cause, detail: string): Refusal {
+    return { status, outcome: Outcome.NotRun, cause, detail, retryAfterMs: undefined };
+}
--- /dev/null
+++ b/src/router/startRouter.ts
@@ -0,0 +1,222 @@
+import http from "node:http";
+import {
+    type DocumentHolder,
+    type RouterSettings,
+    createDocumentHolder,
+    createDocumentRepository,
+} from "../config/index.js";
+import { type DocumentSync, startDocumentSync } from "../config/DocumentSync.js";
+import { startControlServer } from "../control/index.js";
+import {
+    type EndpointTable,
+    FactOrigin,
+    type PeerDirectory,
+    type PeerExchange,
+    createEndpointTable,
+    createPeerDirectory,
+    startPeerExchange,
+} from "../membership/index.js";
+import { createHttpHostList, createHttpKeyValueService } from "../platform/index.js";
+import { createAffinityChoice, createRetryBudget } from "../scheduling/index.js";
+import {
+    EventId,
+    type Logger,
+    createLogger,
+    createMetrics,
+    createTracing,
+    startMetricsServer,
+} from "../telemetry/index.js";
+import { computeHash32 } from "../utils/digest.js";
+import { listenOn, sendJson } from "../utils/http.js";
+import type { RunningProgram } from "../utils/program.js";
+import { readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
+import type { RouterContext } from "./RouterContext.js";
+import { createRouterServer } from "./RouterServer.js";
+import { createAgentDirectory } from "./attempts/AgentDirectory.js";
+import { createSilenceWatch } from "./attempts/SilenceWatch.js";
+import { createSingleClaimStore } from "./claims/SingleClaimStore.js";
+import { type PeerMessage, buildRouterControl } from "./routerControl.js";
+
+const HOST_LIST_MS = 1_000;
+const WATCHERS_PER_ZONE = 2;
+const RETRY_SHARE = 0.1;
+const MAX_SAVED_RETRIES = 50;
+const MAX_LOAD_FACTOR = 1.25;
+const ZONE_TOLERANCE = 0.25;
+const STATUS_NOT_FOUND = 404;
+const DRAIN_POLL_MS = 50;
+
+/**
+ * Starts a router.
+ * @param settings - Checked settings.
+ */
+export async function startRouter(settings: RouterSettings): Promise<RunningProgram> {
+    const logger = createLogger(settings.host);
+    const metrics = createMetrics();
+    const tracing = createTracing({ program: "auburnpass-router", ...settings, collector: settings.traces?.collector });
+    const processKey = settings.processKeys[0] ?? "";
+    const holder = createDocumentHolder();
+    const table = createEndpointTable();
+    const peers = createPeerDirectory(settings.host, settings.routers);
+    const keyValue = createHttpKeyValueService({ url: settings.platform.keyValue });
+    const hostList = createHttpHostList(settings.platform.hostList);
+    const sync = startDocumentSync({
+        environment: settings.environment,
+        holder,
+        repository: createDocumentRepository(keyValue),
+        isWatcher: () => isWatcher(settings, peers),
+        logger,
+    });
+    const context: RouterContext = {
+        host: settings.host,
+        zone: settings.zone,
+        processKey,
+        table,
+        directory: createAgentDirectory(processKey),
+        watch: createSilenceWatch(settings.silenceMs),
+        choice: createAffinityChoice({
+            maxLoadFactor: MAX_LOAD_FACTOR,
+            zoneTolerance: ZONE_TOLERANCE,
+            random: Math.random,
+        }),
+        retries: createRetryBudget({ share: RETRY_SHARE, maxSaved: MAX_SAVED_RETRIES }),
+        claims: createSingleClaimStore(keyValue),
+        logger,
+        metrics,
+        tracing,
+    };
+    const exchange = startPeerExchange({
+        host: settings.host,
+        zone: settings.zone,
+        processKey,
+        peers,
+        table,
+        getDocumentVersion: holder.getVersion,
+        listSuspects: () => [],
+        onDocument: (stored, from) => sync.takeDocument(stored, from),
+        logger,
+    });
+    holder.onApplied(stored => {
+        metrics.documentVersion.set(stored.version);
+        void exchange.sendNow();
+    });
+    const callers = createRouterServer({
+        context,
+        getIndex: holder.getIndex,
+        limits: settings.limits,
+        onSettled: () => undefined,
+    });
+    const control = await startControl(settings, { holder, table, exchange, zone: settings.zone });
+    const monitoring = await startMetricsServer(
+        metrics,
+        { isReady: () => holder.getVersion() > 0 && !callers.isDraining() },
+        settings.listen.metrics,
+        settings.listen.address,
+    );
+    const hostLoop = startHostLoop({
+        table,
+        peers,
+        logger,
+        onTick: () => metrics.knownEndpoints.set(table.listAll().length),
+        listHosts: () => hostList.listHosts(),
+    });
+    await listenOn(callers.server, settings.listen.callers, settings.listen.address);
+    logger.logEvent(EventId.ProcessStarted, { program: "auburnpass-router", zone: settings.zone });
+    return { stop };
+
+    async function stop(): Promise<void> {
+        logger.logEvent(EventId.ProcessDraining);
+        callers.startDraining();
+        await waitFor(settings.drainNoticeMs);
+        callers.refuseNew();
+        callers.server.close();
+        while (callers.getConcurrent() > 0) {
+            await waitFor(DRAIN_POLL_MS);
+        }
+        await Promise.all([sync.stop(), exchange.stop(), hostLoop.stop()]);
+        context.watch.stop();
+        context.directory.close();
+        control.close();
+        monitoring.close();
+        await tracing.stop();
+        logger.logEvent(EventId.ProcessStopped);
+    }
+}
+
+interface ControlParts {
+    holder: DocumentHolder;
+    table: EndpointTable;
+    exchange: PeerExchange;
+    zone: string;
+}
+
+async function startControl(settings: RouterSettings, parts: ControlParts): Promise<{ close(): void }> {
+    const { holder, table, exchange } = parts;
+    const server = http.createServer((unhandled, response) => {
+        sendJson(response, STATUS_NOT_FOUND, { error: `no ${unhandled.url ?? "path"} here` });
+    });
+    const router = buildRouterControl({
+        holder,
+        onHeartbeat(fact) {
+            const wasDraining = table.getEndpoint(fact.host)?.fact.isDraining === true;
+            table.recordFact(fact, FactOrigin.Agent, readMonotonicMs());
+            if (fact.isDraining && !wasDraining) {
+                void exchange.sendNow();
+            }
+        },
+        onPeerMessage(message) {
+            takePeerMessage(message, parts);
+        },
+    });
+    const control = startControlServer(server, router, settings.processKeys);
+    await listenOn(server, settings.listen.control, settings.listen.address);
+    return {
+        close() {
+            control.close();
+            server.closeAllConnections();
+            server.close();
+        },
+    };
+}
+
+function takePeerMessage(message: PeerMessage, parts: ControlParts): void {
+    const origin = message.zone === parts.zone ? FactOrigin.OwnZone : FactOrigin.OtherZone;
+    const now = readMonotonicMs();
+    message.facts.forEach(fact => parts.table.recordFact(fact, origin, now));
+    parts.exchange.handleVersion(message.host, message.documentVersion);
+}
+
+interface HostLoopOptions {
+    table: EndpointTable;
+    peers: PeerDirectory;
+    logger: Logger;
+    onTick: () => void;
+    listHosts: () => ReturnType<ReturnType<typeof createHttpHostList>["listHosts"]>;
+}
+
+/** Reads the host list; while it can't be read, the last one and the heartbeats go on. */
+function startHostLoop(options: HostLoopOptions): ReturnType<typeof startLoop> {
+    return startLoop(
+        HOST_LIST_MS,
+        async () => {
+            options.onTick();
+            options.table.forgetSilent(readMonotonicMs()).forEach(view => {
+                options.logger.logEvent(EventId.HostLeft, { endpoint: view.fact.host });
+            });
+            const hosts = await options.listHosts();
+            options.peers.recordHosts(hosts);
+            options.table.recordHosts(hosts);
+        },
+        () => undefined,
+    );
+}
+
+/** A few routers of each zone hold a watch; the others hear of changes from them. */
+function isWatcher(settings: RouterSettings, peers: PeerDirectory): boolean {
+    const own = peers.listPeers().filter(peer => peer.zone === settings.zone);
+    const score = computeHash32(settings.host);
+    return own.filter(peer => computeHash32(peer.host) > score).length < WATCHERS_PER_ZONE;
+}
+
+/** Type of the synchronisation, for the administration API. */
+export type { DocumentSync };
--- /dev/null
+++ b/src/scheduling/WorkQueue.ts
@@ -0,0 +1,92 @@
+import type { WorkRank } from "../config/WorkRank.js";
+import type { Cause } from "../protocol/Cause.js";
+
+/** A request that waits for a slot at an endpoint. */
+export interface WorkItem {
+    id: string;
+    rank: WorkRank;
+    team: string;
+    /** Weight of the team among the teams of its rank. */
+    weight: number;
+    /** Estimated tokens. */
+    cost: number;
+    /** Time by which the first byte is due, on the monotonic clock in milliseconds. */
+    deadline: number;
+}
+
+/** An item that is given up, with the reason and when to come back. */
+export interface RejectedWork {
+    item: WorkItem;
+    cause: Cause;
+    retryAfterMs: number;
+}
+
+/** Answer to an offer: the item waits unless it is among the rejected. */
+export interface OfferAnswer {
+    rejected: RejectedWork[];
+}
+
+/** Answer to a request for work. */
+export interface TakeAnswer {
+    item: WorkItem | undefined;
+    /** Items that can no longer meet their deadline. */
+    rejected: RejectedWork[];
+}
+
+/** What was observed of a finished item. */
+export interface CompletedWork {
+    item: WorkItem;
+    /** Real tokens, when known. */
+    cost: number;
+    /** Time in the slot, in milliseconds. */
+    durationMs: number;
+    /** Time from the slot to the first byte, in milliseconds. */
+    firstByteMs: number;
+}
+
+/** Orders the work in front of one endpoint. */
+export abstract class WorkQueue {
+    /**
+     * Offers an item.
+     * @param item - Item to queue.
+     * @param now - Monotonic time in milliseconds.
+     */
+    abstract offerWork(item: WorkItem, now: number): OfferAnswer;
+
+    /**
+     * Takes the item to start next; each taken item holds a slot until it is completed.
+     * @param now - Monotonic time in milliseconds.
+     */
+    abstract takeWork(now: number): TakeAnswer;
+
+    /**
+     * Frees the slot of an item and learns from its run.
+     * @param work - Item with its observed cost and time.
+     */
+    abstract completeWork(work: CompletedWork): void;
+
+    /**
+     * Removes a waiting item.
+     * @param id - Identifier of the item.
+     * @returns False if the item does not wait.
+     */
+    abstract removeWork(id: string): boolean;
+
+    /**
+     * Rejects the items that can no longer meet their deadline.
+     * @param now - Monotonic time in milliseconds.
+     */
+    abstract rejectLateWork(now: number): RejectedWork[];
+
+    /** Counts the waiting items of a rank of work, or of all. */
+    abstract countWaiting(rank?: WorkRank): number;
+
+    /** Counts the items that hold a slot. */
+    abstract countRunning(): number;
+
+    /**
+     * Predicts the wait of a new item, in milliseconds.
+     * @param rank - Rank of work of the item.
+     */
+    abstract predictWait(rank: WorkRank): number;
+}
--- /dev/null
+++ b/src/telemetry/metrics.ts
@@ -0,0 +1,104 @@
+import http from "node:http";
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from "prom-client";
+import { listenOn } from "../utils/http.js";
+
+/** Metrics of a process. */
+export interface Metrics {
+    registry: Registry;
+    requests: Counter<"rank" | "outcome" | "cause">;
+    attempts: Counter<"result">;
+    firstByteSeconds: Histogram<"rank">;
+    queued: Gauge<"rank">;
+    running: Gauge;
+    documentVersion: Gauge;
+    knownEndpoints: Gauge;
+}
+
+const FIRST_BYTE_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.9, 5, 10, 30, 60];
+
+/** Creates the metrics of a process, on a registry of their own. */
+export function createMetrics(): Metrics {
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    const registers = [registry];
+    return {
+        registry,
+        requests: new Counter({
+            name: "auburnpass_requests_total",
+            help: "Requests settled, by rank of work, outcome and cause",
+            labelNames: ["rank", "outcome", "cause"],
+            registers,
+        }),
+        attempts: new Counter({
+            name: "auburnpass_attempts_total",
+            help: "Attempts at endpoints, by result",
+            labelNames: ["result"],
+            registers,
+        }),
+        firstByteSeconds: new Histogram({
+            name: "auburnpass_first_byte_seconds",
+            help: "Time to the first byte of the answer",
+            labelNames: ["rank"],
+            buckets: FIRST_BYTE_BUCKETS_S,
+            registers,
+        }),
+        queued: new Gauge({
+            name: "auburnpass_queued",
+            help: "Requests that wait in the queue",
+            labelNames: ["rank"],
+            registers,
+        }),
+        running: new Gauge({ name: "auburnpass_running", help: "Requests in progress", registers }),
+        knownEndpoints: new Gauge({
+            name: "auburnpass_known_endpoints",
+            help: "Endpoints that this host has heard of",
+            registers,
+        }),
+        documentVersion: new Gauge({
+            name: "auburnpass_document_version",
+            help: "Version of the environment document in force",
+            registers,
+        }),
+    };
+}
+
+/** What the health endpoints of a process report. */
+export interface Health {
+    isReady(): boolean;
+}
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+
+/**
+ * Starts the HTTP server for metrics, health and readiness.
+ * @param metrics - Metrics to expose.
+ * @param health - Readiness of the process.
+ * @param port - Port to listen on.
+ * @param address - IP address to listen on.
+ */
+export async function startMetricsServer(
+    metrics: Metrics,
+    health: Health,
+    port: number,
+    address: string,
+): Promise<http.Server> {
+    const server = http.createServer((request, response) => {
+        if (request.url === "/metrics") {
+            void metrics.registry.metrics().then(text => {
+                response.writeHead(STATUS_OK, { "content-type": metrics.registry.contentType });
+                response.end(text);
+            });
+        } else if (request.url === "/healthz") {
+            response.writeHead(STATUS_OK).end("ok\n");
+        } else if (request.url === "/readyz") {
+            const isReady = health.isReady();
+            response.writeHead(isReady ? STATUS_OK : STATUS_UNAVAILABLE).end(isReady ? "ready\n" : "not ready\n");
+        } else {
+            response.writeHead(STATUS_NOT_FOUND).end();
+        }
+    });
+    await listenOn(server, port, address);
+    return server;
+}
--- /dev/null
+++ b/src/utils/http.ts
@@ -0,0 +1,128 @@
+import http from "node:http";
+import { ErrorCode, createError } from "../errors/index.js";
+
+/** A whole HTTP answer held in memory. */
+export interface HttpAnswer {
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    body: Buffer;
+}
+
+/** Options of a small HTTP call whose answer is held in memory. */
+export interface HttpCallOptions {
+    method: string;
+    url: URL | string;
+    headers?: http.OutgoingHttpHeaders;
+    body?: string | Buffer;
+    /** Time allowed for the whole call, in milliseconds. */
+    timeoutMs: number;
+    /** Largest accepted answer, in bytes. */
+    maxBytes?: number;
+    agent?: http.Agent;
+}
+
+const DEFAULT_MAX_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Sends a request and reads the whole answer.
+ * @param options - Request and bounds.
+ */
+export function sendHttpCall(options: HttpCallOptions): Promise<HttpAnswer> {
+    return new Promise((resolve, reject) => {
+        const request = http.request(options.url, {
+            method: options.method,
+            headers: options.headers,
+            agent: options.agent,
+        });
+        const timer = setTimeout(() => request.destroy(createTimeoutError()), options.timeoutMs);
+        request.on("error", finishWithError);
+        request.on("response", response => {
+            response.on("error", finishWithError);
+            readWholeBody(response, options.maxBytes ?? DEFAULT_MAX_BYTES).then(body => {
+                clearTimeout(timer);
+                resolve({ status: response.statusCode ?? 0, headers: response.headers, body });
+            }, finishWithError);
+        });
+        request.end(options.body);
+
+        function finishWithError(error: unknown): void {
+            clearTimeout(timer);
+            request.destroy();
+            reject(error instanceof Error ? error : new Error(String(error)));
+        }
+
+        function createTimeoutError(): Error {
+            return createError({
+                code: ErrorCode.Timeout,
+                expected: `an answer within ${options.timeoutMs} ms`,
+                got: `silence from ${String(options.url)}`,
+            });
+        }
+    });
+}
+
+/**
+ * Reads a body into one buffer.
+ * @param stream - Stream to read; an end without completion is an error.
+ * @param maxBytes - Largest accepted size in bytes.
+ */
+export function readWholeBody(stream: http.IncomingMessage, maxBytes: number): Promise<Buffer> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        stream.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > maxBytes) {
+                stream.removeAllListeners("data");
+                reject(
+                    createError({
+                        code: ErrorCode.TooLarge,
+                        expected: `at most ${maxBytes} bytes`,
+                        got: "a longer body",
+                    }),
+                );
+                return;
+            }
+            chunks.push(chunk);
+        });
+        stream.on("end", () => resolve(Buffer.concat(chunks)));
+        stream.on("error", reject);
+        stream.on("close", () => {
+            if (!stream.complete) {
+                reject(
+                    createError({ code: ErrorCode.Unreachable, expected: "a whole body", got: "a closed connection" }),
+                );
+            }
+        });
+    });
+}
+
+/**
+ * Listens on an address and waits until the port is bound.
+ * @param server - Server to start.
+ * @param port - Port; 0 lets the system choose one.
+ * @param address - IP address.
+ * @returns Bound port.
+ */
+export function listenOn(server: http.Server, port: number, address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, address, () => {
+            server.removeListener("error", reject);
+            const bound = server.address();
+            resolve(typeof bound === "object" && bound !== null ? bound.port : port); // eslint-disable-line no-restricted-syntax
+        });
+    });
+}
+
+/**
+ * Writes a JSON answer.
+ * @param response - Response to end.
+ * @param status - HTTP status.
+ * @param value - Value to encode.
+ */
+export function sendJson(response: http.ServerResponse, status: number, value: unknown): void {
+    const body = JSON.stringify(value);
+    response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+    response.end(body);
+}
--- /dev/null
+++ b/standins/main.ts
@@ -0,0 +1,29 @@
+import meow from "meow";
+import { match } from "ts-pattern";
+import { startCollectorStandin } from "./collector/collectorStandin.js";
+import { startEngineStandin } from "./engine/engineStandin.js";
+import { startPlatformStandin } from "./platform/platformStandin.js";
+import { startServiceStandin } from "./service/serviceStandin.js";
+
+const cli = meow("Usage: main --kind platform|engine|service|collector --port PORT [--model NAME]", {
+    importMeta: import.meta,
+    flags: {
+        kind: { type: "string", isRequired: true },
+        port: { type: "number", isRequired: true },
+        model: { type: "string", default: "assist-lm" },
+        stepMs: { type: "number", default: 10 },
+        batch: { type: "number", default: 8 },
+    },
+});
+
+const { kind, port, model, stepMs, batch } = cli.flags;
+const standin = await match(kind)
+    .with("platform", () => startPlatformStandin({ port, hostListLagMs: 500 }))
+    .with("engine", () => startEngineStandin({ port, model, stepMs, batch }))
+    .with("service", () => startServiceStandin({ port }))
+    .with("collector", () => startCollectorStandin(port))
+    .otherwise(other => Promise.reject(new Error(`Expected a kind of stand-in, but got ${other}`)));
+
+process.on("SIGTERM", () => {
+    void standin.close().then(() => process.exit(0));
+});
--- /dev/null
+++ b/standins/platform/KeyValueStore.ts
@@ -0,0 +1,161 @@
+import {
+    type KeyValueEntry,
+    KeyValueService,
+    type SwapAnswer,
+    type SwapOptions,
+    type WatchAnswer,
+} from "../../src/platform/index.js";
+
+/** Key-value service held in memory, which tests use directly and the HTTP stand-in serves. */
+export interface KeyValueStore extends KeyValueService {
+    /** Revision of the last write. */
+    getRevision(): number;
+    /** Ends a lease at once. */
+    endLease(leaseId: string): void;
+    /** Changes an entry behind the back of its users, as an old copy of the platform would. */
+    overwriteEntry(key: string, value: string): void;
+}
+
+interface Lease {
+    ttlMs: number;
+    expiresAt: number;
+    keys: Set<string>;
+}
+
+interface Change {
+    revision: number;
+    key: string;
+    isDeletion: boolean;
+}
+
+const MAX_CHANGES = 100_000;
+
+/** Creates a key-value service in memory, on the clock of the runtime. */
+export function createKeyValueStore(): KeyValueStore {
+    const entries = new Map<string, KeyValueEntry>();
+    const leases = new Map<string, Lease>();
+    const changes: Change[] = [];
+    const waiting = new Set<() => void>();
+    let revision = 0;
+    let leaseCount = 0;
+
+    return new (class MemoryKeyValueStore extends KeyValueService implements KeyValueStore {
+        override async getEntry(key: string): Promise<KeyValueEntry | undefined> {
+            expireLeases();
+            return entries.get(key);
+        }
+
+        override async listEntries(prefix: string): Promise<KeyValueEntry[]> {
+            expireLeases();
+            return [...entries.values()].filter(entry => entry.key.startsWith(prefix));
+        }
+
+        override async swapEntry(swap: SwapOptions): Promise<SwapAnswer> {
+            expireLeases();
+            const current = entries.get(swap.key);
+            if ((current?.revision ?? 0) !== swap.expectedRevision) {
+                return { applied: false, current };
+            }
+            if (swap.value === undefined) {
+                deleteEntry(swap.key);
+            } else {
+                writeEntry(swap.key, swap.value);
+                if (swap.leaseId !== undefined) {
+                    leases.get(swap.leaseId)?.keys.add(swap.key);
+                }
+            }
+            return { applied: true, current: entries.get(swap.key) };
+        }
+
+        override async grantLease(ttlMs: number): Promise<string> {
+            leaseCount++;
+            leases.set(String(leaseCount), { ttlMs, expiresAt: Date.now() + ttlMs, keys: new Set() });
+            return String(leaseCount);
+        }
+
+        override async renewLease(leaseId: string): Promise<boolean> {
+            expireLeases();
+            const lease = leases.get(leaseId);
+            if (lease === undefined) {
+                return false;
+            }
+            lease.expiresAt = Date.now() + lease.ttlMs;
+            return true;
+        }
+
+        override async watchEntries(prefix: string, afterRevision: number, timeoutMs: number): Promise<WatchAnswer> {
+            const found = collectChanges(prefix, afterRevision);
+            if (found !== undefined) {
+                return found;
+            }
+            return new Promise(resolve => {
+                const timer = setTimeout(finish, timeoutMs);
+                waiting.add(check);
+                function check(): void {
+                    if (collectChanges(prefix, afterRevision) !== undefined) {
+                        finish();
+                    }
+                }
+                function finish(): void {
+                    clearTimeout(timer);
+                    waiting.delete(check);
+                    resolve(collectChanges(prefix, afterRevision) ?? { revision, changed: [], deleted: [] });
+                }
+            });
+        }
+
+        getRevision(): number {
+            return revision;
+        }
+
+        endLease(leaseId: string): void {
+            const lease = leases.get(leaseId);
+            leases.delete(leaseId);
+            lease?.keys.forEach(deleteEntry);
+        }
+
+        overwriteEntry(key: string, value: string): void {
+            writeEntry(key, value);
+        }
+    })();
+
+    function writeEntry(key: string, value: string): void {
+        revision++;
+        entries.set(key, { key, value, revision });
+        recordChange(key, false);
+    }
+
+    function deleteEntry(key: string): void {
+        if (entries.delete(key)) {
+            revision++;
+            recordChange(key, true);
+        }
+    }
+
+    function recordChange(key: string, isDeletion: boolean): void {
+        changes.push({ revision, key, isDeletion });
+        if (changes.length > MAX_CHANGES) {
+            changes.splice(0, changes.length - MAX_CHANGES);
+        }
+        [...waiting].forEach(check => check());
+    }
+
+    function collectChanges(prefix: string, afterRevision: number): WatchAnswer | undefined {
+        const since = changes.filter(change => change.revision > afterRevision && change.key.startsWith(prefix));
+        if (since.length === 0) {
+            return undefined;
+        }
+        const keys = [...new Set(since.map(change => change.key))];
+        const present = keys.map(key => entries.get(key)).filter(entry => entry !== undefined);
+        return { revision, changed: present, deleted: keys.filter(key => !entries.has(key)) };
+    }
+
+    function expireLeases(): void {
+        for (const [leaseId, lease] of leases) {
+            if (lease.expiresAt <= Date.now()) {
+                leases.delete(leaseId);
+                lease.keys.forEach(deleteEntry);
+            }
+        }
+    }
+}
