--- a/bench/fleet/Fleet.ts
+++ b/bench/fleet/Fleet.ts
@@ -9,6 +9,7 @@
 import { sendHttpCall } from "../../src/utils/http.js";
 import { buildList } from "../../src/utils/list.js";
 import { waitFor } from "../../src/utils/time.js";
+import { type LinkStandin, startLinkStandin } from "../../standins/network/linkStandin.js";
 import { type FleetProcess, startFleetProcess } from "./FleetProcess.js";
 import { findFreePorts } from "./ports.js";
 
@@ -29,6 +30,11 @@
     engineBatch?: number;
     concurrency?: number;
     drainNoticeMs?: number;
+    /** Address to which the plain services report their runs. */
+    recorderUrl?: string;
+    /** Puts a link with faults in front of each agent. */
+    hasLinks?: boolean;
+    silenceMs?: number;
 }
 
 /** A router of the fleet. */
@@ -49,6 +55,8 @@
     kind: EndpointKind;
     endpointUrl: string;
     agentPort: number;
+    /** Link in front of the agent. */
+    link: LinkStandin | undefined;
     endpoint: FleetProcess;
     agent: FleetProcess;
 }
@@ -105,7 +113,7 @@
     const routers = buildList(routerCount, createRouter);
     await publishHosts([]);
     routers.forEach(startRouterProcess);
-    const endpoints = buildList(endpointCount, createEndpoint);
+    const endpoints = await Promise.all(buildList(endpointCount, createEndpoint));
     await publishHosts(endpoints);
     return {
         routers,
@@ -157,6 +165,7 @@
             environment: options.environment,
             listen: { address: ADDRESS, callers, control, metrics },
             operators: [{ name: "fleet-operator", keyDigest: computeKeyDigest(operatorKey) }],
+            silenceMs: options.silenceMs ?? 1_000,
             drainNoticeMs: options.drainNoticeMs ?? 500,
         });
         return {
@@ -177,16 +186,18 @@
         ]);
     }
 
-    function createEndpoint(place: number): FleetEndpoint {
+    async function createEndpoint(place: number): Promise<FleetEndpoint> {
         const zone = options.zones[place % options.zones.length] ?? "";
         const [endpointPort, agentPort, metrics] = takePorts(PORTS_PER_ENDPOINT) as [number, number, number];
         const isEngine = place < options.engines;
         const kind = isEngine ? EndpointKind.Engine : EndpointKind.Service;
         const host = `${kind}-${isEngine ? place + 1 : place - options.engines + 1}`;
         const endpointUrl = `http://${ADDRESS}:${endpointPort}`;
+        const link = options.hasLinks === true ? await startLinkStandin(agentPort) : undefined;
         writeSettings(host, {
             ...createCommonSettings(host, zone),
             listen: { address: ADDRESS, data: agentPort, metrics },
+            advertise: link && { address: ADDRESS, data: link.port },
             endpoint: {
                 kind,
                 name: isEngine ? options.model : options.serviceName,
@@ -200,6 +211,7 @@
             kind,
             endpointUrl,
             agentPort,
+            link,
             endpoint: startEndpointProcess(host, kind, endpointPort),
             agent: startAgentProcess(host),
         };
@@ -208,13 +220,9 @@
 
     function startEndpointProcess(host: string, kind: EndpointKind, port: number): FleetProcess {
         const speeds = ["--step-ms", String(options.engineStepMs ?? 10), "--batch", String(options.engineBatch ?? 8)];
-        const args = [
-            "--port",
-            String(port),
-            "--model",
-            options.model,
-            ...(kind === EndpointKind.Engine ? speeds : []),
-        ];
+        const recorder = options.recorderUrl === undefined ? [] : ["--recorder", options.recorderUrl];
+        const extra = kind === EndpointKind.Engine ? speeds : recorder;
+        const args = ["--port", String(port), "--model", options.model, ...extra];
         return runStandin(kind, args, `${host}-endpoint`);
     }
 
@@ -272,6 +280,7 @@
         await endAndWait(endpoint.endpoint);
         const port = Number(new URL(endpoint.endpointUrl).port);
         endpoint.endpoint = startEndpointProcess(endpoint.host, endpoint.kind, port);
+        await waitForHttp(`${endpoint.endpointUrl}/health`);
     }
 
     async function endAndWait(process: FleetProcess): Promise<void> {
@@ -312,6 +321,7 @@
             started.signal("SIGKILL");
         }
         await Promise.all(processes.map(started => started.waitForExit()));
+        await Promise.all(endpoints.map(endpoint => endpoint.link?.close()));
         rmSync(folder, { recursive: true, force: true });
     }
 }
--- /dev/null
+++ b/bench/matrix/runMatrix.ts
@@ -0,0 +1,95 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import { consola } from "consola";
+import meow from "meow";
+import { type CellResult, CellState, runCell } from "./cells.js";
+import { type Matrix, startMatrix } from "./Matrix.js";
+import { runRounds } from "./rounds.js";
+import { FAULTS, STEPS } from "./Step.js";
+
+const cli = meow(
+    `
+  Runs the fault matrix, and writes docs/FAULT-MATRIX.md
+
+  Options
+    --fault TEXT   only the faults that contain the text
+    --step TEXT    only the steps that contain the text
+    --rounds N     runs N bookings under random faults, in place of the matrix
+    --seed N       seed of the random faults (1)
+    --json         prints the results as JSON
+`,
+    {
+        importMeta: import.meta,
+        flags: {
+            fault: { type: "string", default: "" },
+            step: { type: "string", default: "" },
+            rounds: { type: "number", default: 0 },
+            seed: { type: "number", default: 1 },
+            json: { type: "boolean", default: false },
+        },
+    },
+);
+
+const documentText = readFileSync("examples/swapdesk.yaml", "utf8").replace(
+    "environment: trial",
+    "environment: production",
+);
+const matrix = await startMatrix(documentText);
+const isGreen = await runAll().finally(() => matrix.stop());
+process.exit(isGreen ? 0 : 1);
+
+function runAll(): Promise<boolean> {
+    return cli.flags.rounds > 0 ? runRandom(matrix) : runTable(matrix);
+}
+
+async function runRandom(started: Matrix): Promise<boolean> {
+    const report = await runRounds(started, { bookings: cli.flags.rounds, seed: cli.flags.seed });
+    consola.log(JSON.stringify(report, undefined, 2));
+    return report.violations.length === 0;
+}
+
+async function runTable(started: Matrix): Promise<boolean> {
+    const results: CellResult[] = [];
+    for (const fault of FAULTS.filter(name => name.includes(cli.flags.fault))) {
+        for (const step of STEPS.filter(name => name.includes(cli.flags.step))) {
+            const result = await runCell(started, fault, step);
+            results.push(result);
+            consola.log(`${result.state.padEnd(15)} ${fault.padEnd(25)} ${step.padEnd(9)} ${result.note}`);
+        }
+    }
+    if (cli.flags.json) {
+        consola.log(JSON.stringify({ results, counts: started.checker.counts }));
+    }
+    if (cli.flags.fault === "" && cli.flags.step === "") {
+        writeFileSync("docs/FAULT-MATRIX.md", formatTable(results));
+    }
+    return results.every(result => result.state !== CellState.Failed);
+}
+
+function formatTable(results: readonly CellResult[]): string {
+    const marks = { [CellState.Proved]: "proved", [CellState.NotApplicable]: "n/a", [CellState.Failed]: "NOT PROVED" };
+    const rows = FAULTS.map(fault => {
+        const cells = STEPS.map(step => {
+            const result = results.find(candidate => candidate.fault === fault && candidate.step === step);
+            return result === undefined ? "not run" : marks[result.state];
+        });
+        return `| ${fault} | ${cells.join(" | ")} |`;
+    });
+    const reasons = results.filter(result => result.state !== CellState.Proved);
+    const notes = reasons.map(result => `- ${result.fault} / ${result.step}: ${result.note}`);
+    return [
+        "# Fault matrix",
+        "",
+        "Each fault at each step of a booking and of a stream, on separate processes. `npm run matrix` writes this page.",
+        "A cell is proved when no invariant of `bench/matrix/Checker.ts` was broken: at most one run a key, no false",
+        '"not run", no answer that is not whole, no answer of another request.',
+        "",
+        `| fault | ${STEPS.join(" | ")} |`,
+        `| --- |${STEPS.map(() => " --- |").join("")}`,
+        ...rows,
+        "",
+        "## Cells that are not proved, and why",
+        "",
+        ...notes,
+        "",
+    ].join("\n");
+}
--- /dev/null
+++ b/src/account/index.ts
@@ -0,0 +1,4 @@
+export * from "./Summary.js";
+export * from "./Account.js";
+export * from "./explain.js";
+export * from "./SummaryWriter.js";
--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -1,5 +1,5 @@
 import http from "node:http";
-import { type EndpointKind, WorkRank } from "../config/index.js";
+import { type EndpointKind, WorkRank, mapRanks } from "../config/index.js";
 import { Cause, Outcome } from "../protocol/index.js";
 import type { RejectedWork, WorkItem, WorkQueue } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
@@ -24,6 +24,8 @@
     budgetMs: number;
     isIdempotent: boolean;
     keyDigest: string;
+    /** The attempt runs apart from all others. */
+    isIsolated: boolean;
     cost: number;
     /** Incarnation of the agent that the router means. */
     incarnation: string;
@@ -49,8 +51,10 @@
     queued: number;
     running: number;
     isDraining: boolean;
-    /** Predicted wait of a new request of each rank, in milliseconds. */
-    waitMs: Record<WorkRank, number>;
+    /** Requests that run or go before a new request of each rank. */
+    ahead: Record<WorkRank, number>;
+    /** Predicted wait of a new urgent request, in milliseconds. */
+    waitMs: number;
 }
 
 /** Options of the agent's core. */
@@ -61,6 +65,8 @@
     stallMs: number;
     ledger: AttemptLedger;
     queue: WorkQueue;
+    /** Called when the endpoint died under an attempt. */
+    onEndpointDead: () => void;
     logger: Logger;
 }
 
@@ -79,6 +85,8 @@
     /** Tells whether no attempt waits or runs. */
     isIdle(): boolean;
     listFinished(): AttemptRecord[];
+    /** Creation time up to which attempts may have been forgotten, in milliseconds. */
+    getForgottenUpTo(): number;
     stop(): void;
 }
 
@@ -87,6 +95,7 @@
     record: AttemptRecord;
     follower: AttemptFollower;
     item: WorkItem;
+    acceptedAt: number;
     run: EndpointRun | undefined;
 }
 
@@ -104,6 +113,8 @@
     const pending = new Map<string, PendingAttempt>();
     const reusing = new http.Agent({ keepAlive: true, maxSockets: options.concurrency * 2 });
     const single = new http.Agent({ keepAlive: false });
+    const isolated: string[] = [];
+    let isolatedRun: string | undefined;
     let isDraining = false;
     const housekeeping = setInterval(keepHouse, HOUSEKEEPING_MS);
 
@@ -120,6 +131,7 @@
         },
         isIdle: () => pending.size === 0,
         listFinished: () => ledger.listFinished(),
+        getForgottenUpTo: () => ledger.getForgottenUpTo(),
         stop() {
             clearInterval(housekeeping);
             reusing.destroy();
@@ -141,8 +153,12 @@
             return;
         }
         const item = createWorkItem(request, now);
-        pending.set(request.id, { request, record, follower, item, run: undefined });
-        rejectAll(queue.offerWork(item, now).rejected);
+        pending.set(request.id, { request, record, follower, item, acceptedAt: now, run: undefined });
+        if (request.isIsolated) {
+            isolated.push(request.id);
+        } else {
+            rejectAll(queue.offerWork(item, now).rejected);
+        }
         startNext();
     }
 
@@ -159,7 +175,15 @@
         return undefined;
     }
 
+    /** An isolated attempt waits until nothing runs, and nothing starts beside it. */
     function startNext(): void {
+        if (isolatedRun !== undefined) {
+            return;
+        }
+        if (isolated.length > 0) {
+            startIsolated();
+            return;
+        }
         while (queue.countRunning() < options.concurrency) {
             const answer = queue.takeWork(readMonotonicMs());
             rejectAll(answer.rejected);
@@ -175,10 +199,19 @@
         }
     }
 
+    function startIsolated(): void {
+        const attempt = queue.countRunning() === 0 ? pending.get(isolated.shift() ?? "") : undefined;
+        if (attempt !== undefined) {
+            isolatedRun = attempt.request.id;
+            startRun(attempt);
+        }
+    }
+
     function startRun(attempt: PendingAttempt): void {
         const startedAt = readMonotonicMs();
         let firstByteAt = startedAt;
         attempt.record.state = AttemptState.Running;
+        attempt.record.queueMs = startedAt - attempt.acceptedAt;
         attempt.run = startEndpointRun({
             endpointUrl: options.endpointUrl,
             agent: attempt.request.isIdempotent ? reusing : single,
@@ -191,15 +224,23 @@
         });
         attempt.follower.onAccepted(attempt.record);
         void attempt.run.result.then(end => {
-            const now = readMonotonicMs();
-            const { item } = attempt;
-            const cost = end.result === RunResult.Whole ? estimateRealCost(attempt) : item.cost;
-            queue.completeWork({ item, cost, durationMs: now - startedAt, firstByteMs: firstByteAt - startedAt });
+            const durationMs = readMonotonicMs() - startedAt;
+            releaseSlot(attempt, end, durationMs, firstByteAt - startedAt);
             finishRun(attempt, end);
             startNext();
         });
     }
 
+    function releaseSlot(attempt: PendingAttempt, end: EndpointRunEnd, durationMs: number, firstByteMs: number): void {
+        if (isolatedRun === attempt.request.id) {
+            isolatedRun = undefined;
+            return;
+        }
+        const { item } = attempt;
+        const cost = end.result === RunResult.Whole ? estimateRealCost(attempt) : item.cost;
+        queue.completeWork({ item, cost, durationMs, firstByteMs });
+    }
+
     function finishRun(attempt: PendingAttempt, end: EndpointRunEnd): void {
         pending.delete(attempt.request.id);
         if (end.result === RunResult.NeverSent) {
@@ -207,6 +248,10 @@
         } else {
             ledger.finishAttempt(attempt.request.id, readMonotonicMs());
         }
+        attempt.record.isEndpointDead = end.isEndpointDead === true;
+        if (end.isEndpointDead === true) {
+            options.onEndpointDead();
+        }
         if (end.fault !== undefined) {
             logger.logEvent(EventId.EndpointFailed, { attempt: attempt.request.id, fault: end.fault });
         }
@@ -239,7 +284,11 @@
             attempt.run.cancel();
             return;
         }
-        if (queue.removeWork(id)) {
+        const place = isolated.indexOf(id);
+        if (place !== -1) {
+            isolated.splice(place, 1);
+        }
+        if (place !== -1 || queue.removeWork(id)) {
             pending.delete(id);
             ledger.tombstoneAttempt(id, readMonotonicMs());
         }
@@ -254,12 +303,15 @@
     }
 
     function getLoad(): AgentLoad {
-        const waitMs = {
-            [WorkRank.Urgent]: queue.predictWait(WorkRank.Urgent),
-            [WorkRank.Standard]: queue.predictWait(WorkRank.Standard),
-            [WorkRank.Deferrable]: queue.predictWait(WorkRank.Deferrable),
+        const ahead = mapRanks(rank => queue.countAhead(rank) + isolated.length);
+        const waitMs = queue.predictWait(WorkRank.Urgent);
+        return {
+            queued: queue.countWaiting() + isolated.length,
+            running: queue.countRunning(),
+            isDraining,
+            ahead,
+            waitMs,
         };
-        return { queued: queue.countWaiting(), running: queue.countRunning(), isDraining, waitMs };
     }
 
     function keepHouse(): void {
--- a/src/agent/AgentServer.ts
+++ b/src/agent/AgentServer.ts
@@ -140,6 +140,7 @@
                     ...headers,
                     [HopHeader.Attempt]: record.id,
                     [HopHeader.Load]: encodeLoad(core),
+                    [HopHeader.QueueMs]: String(Math.round(record.queueMs)),
                     trailer: HopHeader.Length,
                 });
                 response.flushHeaders();
@@ -207,6 +208,7 @@
         rank,
         budgetMs,
         isIdempotent: getHeader(request.headers, HopHeader.Idempotent) === "1",
+        isIsolated: getHeader(request.headers, HopHeader.Isolated) === "1",
         keyDigest: getHeader(request.headers, HopHeader.KeyDigest) ?? "",
         cost,
         incarnation: getHeader(request.headers, HopHeader.Incarnation) ?? "",
@@ -223,5 +225,6 @@
 
 function encodeLoad(core: AgentCore): string {
     const load = core.getLoad();
-    return `${load.queued},${load.running},${load.isDraining ? 1 : 0}`;
+    const ahead = WORK_RANKS.map(rank => load.ahead[rank]).join(",");
+    return `${load.queued},${load.running},${load.isDraining ? 1 : 0},${ahead}`;
 }
--- a/src/agent/AttemptLedger.ts
+++ b/src/agent/AttemptLedger.ts
@@ -1,3 +1,4 @@
+import { readAttemptTime } from "../protocol/index.js";
 import { type KeptAnswer, createKeptAnswer } from "./KeptAnswer.js";
 
 /** What an agent knows of an attempt. */
@@ -8,6 +9,8 @@
     Done = "done",
     /** The attempt was not run, and will be refused. */
     Tombstoned = "tombstoned",
+    /** The attempt is so old that it may have been forgotten. */
+    Forgotten = "forgotten",
 }
 
 /** Facts with which an attempt is opened. */
@@ -22,6 +25,10 @@
 export interface AttemptRecord extends AttemptStructure {
     state: AttemptState;
     answer: KeptAnswer;
+    /** The endpoint died under the attempt. */
+    isEndpointDead: boolean;
+    /** Time in the queue, in milliseconds. */
+    queueMs: number;
     /** Monotonic time of the end, in milliseconds. */
     endedAt: number | undefined;
 }
@@ -55,6 +62,8 @@
     /** Lists the finished non-idempotent attempts, for a planned stop. */
     listFinished(): AttemptRecord[];
     countOpen(): number;
+    /** Creation time up to which attempts may have been forgotten, in milliseconds. */
+    getForgottenUpTo(): number;
     /** Forgets what is older than the retention. */
     forgetExpired(now: number): void;
 }
@@ -69,6 +78,7 @@
     const barred = new Map<string, number>();
     let answerBytes = 0;
     let durableRecords = 0;
+    let forgottenUpTo = -1;
 
     return {
         openAttempt,
@@ -80,9 +90,13 @@
         listFinished,
         countOpen,
         forgetExpired,
+        getForgottenUpTo: () => forgottenUpTo,
     };
 
     function openAttempt(structure: AttemptStructure, now: number): AttemptRecord | undefined {
+        if (!structure.isIdempotent && isForgettable(structure.id)) {
+            return undefined;
+        }
         const isTaken = records.has(structure.id) || isKeyTaken(structure, now);
         const isFull = !structure.isIdempotent && durableRecords >= options.maxRecords;
         if (isTaken || isFull) {
@@ -103,10 +117,18 @@
         if (record !== undefined) {
             return record.state;
         }
+        if (isForgettable(id)) {
+            return AttemptState.Forgotten;
+        }
         addRecord({ id, isIdempotent: false, keyDigest: "" }, AttemptState.Tombstoned, now);
         return AttemptState.NeverSeen;
     }
 
+    /** Of an attempt this old nothing can be said any more. */
+    function isForgettable(id: string): boolean {
+        return readAttemptTime(id) <= forgottenUpTo;
+    }
+
     function tombstoneAttempt(id: string, now: number): void {
         const record = records.get(id);
         if (record === undefined) {
@@ -151,7 +173,14 @@
     }
 
     function addRecord(structure: AttemptStructure, state: AttemptState, endedAt: number | undefined): AttemptRecord {
-        const record: AttemptRecord = { ...structure, state, answer: createKeptAnswer(), endedAt };
+        const record: AttemptRecord = {
+            ...structure,
+            state,
+            answer: createKeptAnswer(),
+            isEndpointDead: false,
+            queueMs: 0,
+            endedAt,
+        };
         records.set(structure.id, record);
         durableRecords += structure.isIdempotent ? 0 : 1;
         if (structure.keyDigest !== "") {
@@ -176,7 +205,10 @@
 
     function forgetRecord(id: string, record: AttemptRecord): void {
         records.delete(id);
-        durableRecords -= record.isIdempotent ? 0 : 1;
+        if (!record.isIdempotent) {
+            durableRecords--;
+            forgottenUpTo = Math.max(forgottenUpTo, readAttemptTime(id));
+        }
         if (byKey.get(record.keyDigest) === id) {
             byKey.delete(record.keyDigest);
         }
--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -1,5 +1,6 @@
 import http from "node:http";
 import { copyEndToEndHeaders, getHeader } from "../protocol/index.js";
+import { sendHttpCall } from "../utils/http.js";
 import { type AnswerCheck, createEventStreamCheck, createFramedCheck } from "./AnswerCheck.js";
 import { AnswerEnd, type KeptAnswer } from "./KeptAnswer.js";
 
@@ -45,8 +46,11 @@
 export interface EndpointRunEnd {
     result: RunResult;
     fault?: string;
+    /** The endpoint does not answer any more. */
+    isEndpointDead?: boolean;
 }
 
+const HEALTH_TIMEOUT_MS = 300;
 const REQUEST_ID = "x-request-id";
 const END_OF_RESULT: Record<RunResult, AnswerEnd> = {
     [RunResult.Whole]: AnswerEnd.Whole,
@@ -72,9 +76,11 @@
     });
     outgoing.end(request.body);
     return {
-        result: result.then(end => {
+        result: result.then(async end => {
+            const isEndpointDead =
+                end.result === RunResult.Broken && !isCancelled && (await isEndpointGone(options.endpointUrl));
             answer.finish(END_OF_RESULT[end.result]);
-            return end;
+            return { ...end, isEndpointDead };
         }),
         cancel() {
             isCancelled = true;
@@ -137,3 +143,18 @@
             : createFramedCheck();
     }
 }
+
+/**
+ * Asks the endpoint for its health.
+ * @param endpointUrl - Address of the endpoint.
+ * @returns True if nobody listens there any more.
+ */
+export async function isEndpointGone(endpointUrl: string): Promise<boolean> {
+    try {
+        await sendHttpCall({ method: "GET", url: new URL("/health", endpointUrl), timeoutMs: HEALTH_TIMEOUT_MS });
+        return false;
+    } catch (error) {
+        const { code } = error as NodeJS.ErrnoException;
+        return code === "ECONNREFUSED" || code === "ECONNRESET";
+    }
+}
--- a/src/agent/agentControl.ts
+++ b/src/agent/agentControl.ts
@@ -11,6 +11,8 @@
     /** Bytes of the answer so far. */
     length: number;
     end?: AnswerEnd;
+    /** The endpoint died under the attempt. */
+    isEndpointDead: boolean;
     /** The answer can still be read from its start. */
     isAnswerKept: boolean;
 }
@@ -27,12 +29,14 @@
         /** Tells the state of an attempt, and bars it if it was never seen. */
         settleAttempt: processProcedure.input(z.object({ id: idSchema })).mutation(({ input }): AttemptReport => {
             const state = core.settleState(input.id);
-            const answer = core.getAttempt(input.id)?.answer;
+            const record = core.getAttempt(input.id);
+            const answer = record?.answer;
             return {
                 incarnation: core.incarnation,
                 state,
                 length: answer?.getLength() ?? 0,
                 end: answer?.getEnd(),
+                isEndpointDead: record?.isEndpointDead ?? false,
                 isAnswerKept: answer?.hasChunks() ?? false,
             };
         }),
--- a/src/agent/startAgent.ts
+++ b/src/agent/startAgent.ts
@@ -1,7 +1,7 @@
 import { type AgentSettings, WorkRank } from "../config/index.js";
 import { startControlServer } from "../control/index.js";
 import { type EndpointFact, createPeerDirectory } from "../membership/index.js";
-import { createHttpHostList } from "../platform/index.js";
+import { createHttpHostList, createHttpKeyValueService } from "../platform/index.js";
 import { type RankFloors, createEntitledQueue } from "../scheduling/index.js";
 import { EventId, createLogger, createMetrics, createTracing, startMetricsServer } from "../telemetry/index.js";
 import { listenOn } from "../utils/http.js";
@@ -10,10 +10,13 @@
 import { createAgentCore } from "./AgentCore.js";
 import { createAgentServer } from "./AgentServer.js";
 import { createAttemptLedger } from "./AttemptLedger.js";
+import { isEndpointGone } from "./EndpointRun.js";
+import { createHandoverStore } from "./Handover.js";
 import { startHeartbeats } from "./HeartbeatSender.js";
 import { buildAgentControl } from "./agentControl.js";
 
 const HOST_LIST_MS = 1_000;
+const HEALTH_MS = 500;
 const DRAIN_POLL_MS = 50;
 /** Time that readers have to fetch the answers kept, before the process ends, in milliseconds. */
 const LINGER_MS = 500;
@@ -38,6 +41,7 @@
     const startedAt = Date.now();
     let policyVersion = 0;
     let sequence = 0;
+    let isDown = false;
     const core = createAgentCore({
         endpointKind: settings.endpoint.kind,
         endpointUrl: settings.endpoint.url,
@@ -55,8 +59,13 @@
             initialMsPerCost: INITIAL_MS_PER_COST,
             maxWaiting: MAX_WAITING,
         }),
+        onEndpointDead() {
+            isDown = true;
+            void heartbeats.sendNow();
+        },
         logger,
     });
+    const handovers = createHandoverStore(createHttpKeyValueService({ url: settings.platform.keyValue }));
     const server = createAgentServer({
         core,
         tracing,
@@ -85,6 +94,13 @@
         },
         logger,
     });
+    const healthLoop = startLoop(
+        HEALTH_MS,
+        async () => {
+            isDown = await isEndpointGone(settings.endpoint.url);
+        },
+        () => undefined,
+    );
     const monitoring = await startMetricsServer(
         metrics,
         { isReady: () => !core.getLoad().isDraining },
@@ -101,21 +117,36 @@
         return {
             host: settings.host,
             zone: settings.zone,
-            address: settings.listen.address,
-            port,
+            address: settings.advertise?.address ?? settings.listen.address,
+            port: settings.advertise?.data ?? port,
             kind: settings.endpoint.kind,
             name: settings.endpoint.name,
             incarnation: core.incarnation,
             startedAt,
             sequence,
             isDraining: load.isDraining,
+            isDown,
             concurrency: settings.endpoint.concurrency,
             queued: load.queued,
             running: load.running,
-            waitMs: load.waitMs[WorkRank.Urgent],
+            ahead: load.ahead,
+            waitMs: load.waitMs,
         };
     }
 
+    /** A platform that is down leaves the fate of finished calls unknown, but does not hold up the stop. */
+    async function publishHandover(): Promise<void> {
+        const finished = core.listFinished();
+        if (!core.isIdle()) {
+            return;
+        }
+        try {
+            await handovers.writeHandover(settings.host, core.incarnation, finished, core.getForgottenUpTo());
+        } catch (error) {
+            logger.logFailure(EventId.TaskFailed, error, { task: "handover" });
+        }
+    }
+
     async function stop(): Promise<void> {
         logger.logEvent(EventId.ProcessDraining);
         core.startDraining();
@@ -124,8 +155,9 @@
         while (!core.isIdle() && readMonotonicMs() < until) {
             await waitFor(DRAIN_POLL_MS);
         }
+        await publishHandover();
         await waitFor(LINGER_MS);
-        await Promise.all([heartbeats.stop(), hostLoop.stop()]);
+        await Promise.all([heartbeats.stop(), hostLoop.stop(), healthLoop.stop()]);
         core.stop();
         control.close();
         server.closeAllConnections();
--- /dev/null
+++ b/src/bin/auburnpass.ts
@@ -0,0 +1,74 @@
+#!/usr/bin/env node
+import { consola } from "consola";
+import meow from "meow";
+import { createAdminClient } from "../cli/AdminClient.js";
+import { COMMANDS } from "../cli/commands.js";
+import { ErrorCode, hasErrorCode } from "../errors/index.js";
+import { ExitCode, readVersion } from "../utils/program.js";
+
+const cli = meow(
+    `
+  Edits, promotes and explains the documents of auburnpass
+
+  Usage
+    $ auburnpass check FILE
+    $ auburnpass diff FILE --environment ENVIRONMENT
+    $ auburnpass apply FILE --environment ENVIRONMENT --base VERSION
+    $ auburnpass promote TRIAL_VERSION PRODUCTION_VERSION
+    $ auburnpass status
+    $ auburnpass explain [--from TIME] [--to TIME] [--team NAME] [--rank RANK]
+    $ auburnpass teams
+    $ auburnpass drain HOST
+    $ auburnpass digest KEY
+
+  Options
+    --router URL    control address of a router (or AUBURNPASS_ROUTER)
+    --key KEY       key of the operator (or AUBURNPASS_KEY)
+    --environment   trial or production (trial)
+    --base VERSION  version that you saw; 0 for none
+    --json          prints the answer as JSON
+
+  Exit codes: 0 done, 1 refused or failed, 2 wrong use
+`,
+    {
+        importMeta: import.meta,
+        pkg: { name: "auburnpass", version: readVersion() },
+        allowUnknownFlags: false,
+        flags: {
+            router: { type: "string", default: process.env.AUBURNPASS_ROUTER },
+            key: { type: "string", default: process.env.AUBURNPASS_KEY ?? "" },
+            environment: { type: "string", default: "trial", choices: ["trial", "production"] },
+            base: { type: "number" },
+            from: { type: "string" },
+            to: { type: "string" },
+            team: { type: "string" },
+            rank: { type: "string" },
+            json: { type: "boolean", default: false },
+        },
+    },
+);
+
+const [name, ...input] = cli.input;
+const command = COMMANDS[name ?? ""];
+if (command === undefined) {
+    consola.error(`expected a command: ${Object.keys(COMMANDS).join(", ")}`);
+    process.exit(ExitCode.WrongUse);
+}
+try {
+    const { environment, base, from, to, team, rank } = cli.flags;
+    const result = await command({ input, environment, version: base, from, to, team, rank, getClient });
+    process.stdout.write(cli.flags.json ? `${JSON.stringify(result.value)}\n` : `${result.lines.join("\n")}\n`);
+    process.exit(result.code);
+} catch (error) {
+    consola.error(error instanceof Error ? error.message : String(error));
+    const isRefused = hasErrorCode(error, ErrorCode.Refused) || hasErrorCode(error, ErrorCode.Timeout);
+    const isUnreachable = (error as NodeJS.ErrnoException).code === "ECONNREFUSED";
+    process.exit(isRefused || isUnreachable ? ExitCode.Failed : ExitCode.WrongUse);
+}
+
+function getClient(): ReturnType<typeof createAdminClient> {
+    if (cli.flags.router === undefined) {
+        throw new Error("expected --router URL or AUBURNPASS_ROUTER");
+    }
+    return createAdminClient(cli.flags.router, cli.flags.key);
+}
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -66,6 +66,8 @@
 export const agentSettingsSchema = z.strictObject({
     ...commonShape,
     listen: z.strictObject({ address, data: port, metrics: port }),
+    /** Address that routers are told, if it is not the one that the agent listens on. */
+    advertise: z.strictObject({ address, data: port }).optional(),
     endpoint: z.strictObject({
         kind: z.enum([EndpointKind.Engine, EndpointKind.Service]),
         /** Model or service that the endpoint serves. */
--- a/src/membership/EndpointFact.ts
+++ b/src/membership/EndpointFact.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { EndpointKind } from "../config/index.js";
+import { EndpointKind, WorkRank } from "../config/index.js";
 
 /** What an agent says of itself and its endpoint, in each heartbeat. */
 export const endpointFactSchema = z.object({
@@ -17,9 +17,17 @@
     /** Grows with each heartbeat of one life. */
     sequence: z.number().int(),
     isDraining: z.boolean(),
+    /** The endpoint behind the agent does not answer. */
+    isDown: z.boolean(),
     concurrency: z.number().int(),
     queued: z.number().int(),
     running: z.number().int(),
+    /** Requests that run or go before a new request of each rank. */
+    ahead: z.object({
+        [WorkRank.Urgent]: z.number(),
+        [WorkRank.Standard]: z.number(),
+        [WorkRank.Deferrable]: z.number(),
+    }),
     /** Predicted wait of urgent work, in milliseconds. */
     waitMs: z.number(),
 });
--- a/src/membership/EndpointTable.ts
+++ b/src/membership/EndpointTable.ts
@@ -34,6 +34,9 @@
     facts: EndpointFact[];
 }
 
+/** Load that came with an answer. */
+export type LoadNews = Pick<EndpointFact, "queued" | "running" | "isDraining" | "ahead">;
+
 /** The endpoints that a router knows. */
 export interface EndpointTable {
     /** Takes in a fact; false if a newer one is known. */
@@ -41,7 +44,7 @@
     /** Takes in the host list, a hint that lags. */
     recordHosts(hosts: readonly HostEntry[]): void;
     /** Takes in the load that came with an answer. */
-    recordLoad(host: string, queued: number, running: number, isDraining: boolean): void;
+    recordLoad(host: string, news: LoadNews): void;
     recordFailure(host: string, now: number): void;
     recordSuccess(host: string): void;
     changeInFlight(host: string, change: number): void;
@@ -125,10 +128,10 @@
         }
     }
 
-    function recordLoad(host: string, queued: number, running: number, isDraining: boolean): void {
+    function recordLoad(host: string, news: LoadNews): void {
         const view = endpoints.get(host);
         if (view !== undefined) {
-            view.fact = { ...view.fact, queued, running, isDraining: view.fact.isDraining || isDraining };
+            view.fact = { ...view.fact, ...news, isDraining: view.fact.isDraining || news.isDraining };
         }
     }
 
@@ -182,7 +185,7 @@
  */
 export function isUsable(view: EndpointView, now: number): boolean {
     const isSilent = view.heardAt + SILENT_AFTER_MS < now;
-    return !isSilent && !view.fact.isDraining && !view.isListedLeaving;
+    return !isSilent && !view.fact.isDraining && !view.fact.isDown && !view.isListedLeaving;
 }
 
 function isLeavingEndpoint(host: HostEntry): boolean {
--- a/src/membership/PeerExchange.ts
+++ b/src/membership/PeerExchange.ts
@@ -2,7 +2,7 @@
 import type { PeerMessage, RouterControl } from "../router/routerControl.js";
 import type { StoredDocument } from "../config/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
-import { type Loop, startLoop } from "../utils/time.js";
+import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
 import { type EndpointTable, FactOrigin } from "./EndpointTable.js";
 import type { Peer, PeerDirectory } from "./PeerDirectory.js";
 
@@ -29,6 +29,8 @@
 export interface PeerExchange {
     /** Sends the news at once, in place of at the next tick. */
     sendNow(): Promise<void>;
+    /** Sends the news to every router, and waits until those that can be reached have them. */
+    sendToAll(): Promise<void>;
     /** Reacts to the version that a peer has announced. */
     handleVersion(host: string, version: number): void;
     /** Asks every peer for the version that it has in force. */
@@ -41,11 +43,13 @@
     place: string;
     /** Version of the table that the peer has. */
     sentVersion: number;
-    isFailing: boolean;
+    /** Monotonic time until which another peer of the zone goes first, in milliseconds. */
+    failedUntil: number;
 }
 
 const TICK_MS = 1_000;
 const CALL_TIMEOUT_MS = 800;
+const FAILED_MS = 5_000;
 const PEERS_PER_OTHER_ZONE = 1;
 /** Facts heard from the own zone are known there; facts of other zones are passed on inside the zone only. */
 const ORIGINS_FOR_OWN_ZONE = [FactOrigin.Agent, FactOrigin.OtherZone];
@@ -58,26 +62,34 @@
 export function startPeerExchange(options: PeerExchangeOptions): PeerExchange {
     const links = new Map<string, PeerLink>();
     const loop: Loop = startLoop(TICK_MS, sendNow, error => options.logger.logFailure(EventId.TaskFailed, error));
-    return { sendNow, handleVersion, queryVersions, stop };
+    return { sendNow, sendToAll, handleVersion, queryVersions, stop };
 
     async function sendNow(): Promise<void> {
         await Promise.all(chooseTargets().map(sendTo));
     }
 
+    async function sendToAll(): Promise<void> {
+        await Promise.all(options.peers.listPeers().map(sendTo));
+    }
+
     /** All routers of the own zone, and of each other zone one that differs from host to host. */
     function chooseTargets(): Peer[] {
         const peers = options.peers.listPeers();
         const own = peers.filter(peer => peer.zone === options.zone);
         const otherZones = new Set(peers.map(peer => peer.zone).filter(zone => zone !== options.zone));
-        const others = [...otherZones].flatMap(zone =>
-            options.peers
-                .choosePeers(options.host, zone, peers.length)
-                .filter(peer => peer.zone === zone && links.get(peer.host)?.isFailing !== true)
-                .slice(0, PEERS_PER_OTHER_ZONE),
-        );
+        const others = [...otherZones].flatMap(zone => chooseOfZone(zone, peers));
         return [...own, ...others];
     }
 
+    /** Peers that failed a moment ago go last, and are still tried when no other is left. */
+    function chooseOfZone(zone: string, peers: readonly Peer[]): Peer[] {
+        const now = readMonotonicMs();
+        const ordered = options.peers.choosePeers(options.host, zone, peers.length).filter(peer => peer.zone === zone);
+        const hasFailed = (peer: Peer): boolean => (links.get(peer.host)?.failedUntil ?? 0) > now;
+        const healthy = ordered.filter(peer => !hasFailed(peer));
+        return (healthy.length > 0 ? healthy : ordered).slice(0, PEERS_PER_OTHER_ZONE);
+    }
+
     async function sendTo(peer: Peer): Promise<void> {
         const link = getLink(peer);
         const origins = peer.zone === options.zone ? ORIGINS_FOR_OWN_ZONE : ORIGINS_FOR_OTHER_ZONES;
@@ -95,10 +107,10 @@
                 CALL_TIMEOUT_MS,
             );
             link.sentVersion = changes.version;
-            link.isFailing = false;
+            link.failedUntil = 0;
             handleVersion(peer.host, answer.documentVersion);
         } catch {
-            link.isFailing = !link.isFailing;
+            link.failedUntil = readMonotonicMs() + FAILED_MS;
         }
     }
 
@@ -150,7 +162,7 @@
         }
         known?.client.close();
         const client = createControlClient<RouterControl>(place, options.processKey);
-        const link = { client, place, sentVersion: 0, isFailing: false };
+        const link = { client, place, sentVersion: 0, failedUntil: 0 };
         links.set(peer.host, link);
         return link;
     }
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -8,6 +8,8 @@
     /** Time left until the target, in milliseconds. */
     Budget = "auburnpass-budget-ms",
     Idempotent = "auburnpass-idempotent",
+    /** The attempt runs apart from all others, since endpoints died under its like. */
+    Isolated = "auburnpass-isolated",
     /** Digest of the idempotency key. */
     KeyDigest = "auburnpass-key-digest",
     Incarnation = "auburnpass-incarnation",
@@ -17,6 +19,8 @@
     Cause = "auburnpass-cause",
     /** Requests that wait and run at the agent, sent with each answer. */
     Load = "auburnpass-load",
+    /** Time that the attempt waited in the agent's queue, in milliseconds. */
+    QueueMs = "auburnpass-queue-ms",
     /** Size of the whole answer, sent as a trailer. */
     Length = "auburnpass-length",
 }
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -2,3 +2,4 @@
 export { Cause } from "./Cause.js";
 export * from "./Refusal.js";
 export * from "./headers.js";
+export * from "./attemptId.js";
--- a/src/router/Exchange.ts
+++ b/src/router/Exchange.ts
@@ -39,6 +39,8 @@
     idempotencyKey: string;
     /** Monotonic time of the first byte to the caller, in milliseconds. */
     firstByteAt: number | undefined;
+    /** Time that the answered attempt waited in the agent's queue, in milliseconds. */
+    queueMs: number;
     attempts: number;
     /** Endpoints that were tried, in order. */
     hosts: string[];
--- a/src/router/RouterServer.ts
+++ b/src/router/RouterServer.ts
@@ -125,6 +125,7 @@
             target: undefined,
             idempotencyKey: "",
             firstByteAt: undefined,
+            queueMs: 0,
             attempts: 0,
             hosts: [],
             isCallerGone: false,
--- a/src/router/attempts/AgentDirectory.ts
+++ b/src/router/attempts/AgentDirectory.ts
@@ -18,6 +18,8 @@
     settleAttempt(agent: AgentAddress, id: string): Promise<AttemptReport | undefined>;
     /** Bars a key at an agent; undefined if the agent can't be reached. */
     barKey(agent: AgentAddress, keyDigest: string, barMs: number): Promise<BarReport | undefined>;
+    /** Starts the planned stop of an agent; false if it can't be reached. */
+    drain(agent: AgentAddress): Promise<boolean>;
     close(): void;
 }
 
@@ -36,7 +38,7 @@
 export function createAgentDirectory(processKey: string): AgentDirectory {
     const pools = new Map<string, http.Agent>();
     const clients = new Map<string, ControlClient<AgentControl>>();
-    return { getPool, replacePool, settleAttempt, barKey, close };
+    return { getPool, replacePool, settleAttempt, barKey, drain, close };
 
     function getPool(agent: AgentAddress): http.Agent {
         const place = formatPlace(agent);
@@ -67,6 +69,13 @@
         );
     }
 
+    async function drain(agent: AgentAddress): Promise<boolean> {
+        const answer = await callAgent(agent, client =>
+            client.call((control, signal) => control.drain.mutate(undefined, { signal }), CONTROL_TIMEOUT_MS),
+        );
+        return answer?.isDraining === true;
+    }
+
     async function callAgent<T>(
         agent: AgentAddress,
         call: (client: ControlClient<AgentControl>) => Promise<T>,
--- a/src/router/attempts/Attempt.ts
+++ b/src/router/attempts/Attempt.ts
@@ -1,6 +1,5 @@
-import { HopHeader, copyEndToEndHeaders } from "../../protocol/index.js";
+import { HopHeader, copyEndToEndHeaders, createAttemptId } from "../../protocol/index.js";
 import type { EndpointView } from "../../membership/index.js";
-import { createId } from "../../utils/digest.js";
 import type { ReadyExchange } from "../Exchange.js";
 import type { AgentAddress } from "./AgentDirectory.js";
 import type { ChannelRequest } from "./AttemptChannel.js";
@@ -22,7 +21,7 @@
  */
 export function createAttemptPlan(view: EndpointView): AttemptPlan {
     const { host, address, port, incarnation } = view.fact;
-    return { id: createId("att"), agent: { host, address, port }, incarnation };
+    return { id: createAttemptId(), agent: { host, address, port }, incarnation };
 }
 
 /** Parts of a channel request that differ between attempts of one exchange. */
@@ -32,6 +31,7 @@
     deadline: number;
     now: number;
     keyDigest: string;
+    isIsolated: boolean;
     processKey: string;
     traceHeaders: Record<string, string>;
     signal: AbortSignal;
@@ -63,6 +63,7 @@
             [HopHeader.Rank]: target.rank,
             [HopHeader.Budget]: String(Math.max(MIN_BUDGET_MS, Math.ceil(budgetMs))),
             [HopHeader.Idempotent]: target.isIdempotent ? "1" : "0",
+            [HopHeader.Isolated]: message.isIsolated ? "1" : "0",
             [HopHeader.KeyDigest]: message.keyDigest,
             [HopHeader.Incarnation]: plan.incarnation,
             [HopHeader.Cost]: String(Math.max(1, Math.round(target.cost))),
--- a/src/router/attempts/AttemptChannel.ts
+++ b/src/router/attempts/AttemptChannel.ts
@@ -1,6 +1,8 @@
 import http from "node:http";
 import { AttemptState } from "../../agent/AttemptLedger.js";
 import { type AnswerHead, AnswerEnd } from "../../agent/KeptAnswer.js";
+import { WorkRank } from "../../config/index.js";
+import type { LoadNews } from "../../membership/index.js";
 import { Cause, HopHeader, Outcome, type Refusal, copyEndToEndHeaders, getHeader } from "../../protocol/index.js";
 import { readWholeBody } from "../../utils/http.js";
 import { readMonotonicMs } from "../../utils/time.js";
@@ -25,6 +27,8 @@
 /** An answer that comes from an agent. */
 export interface AttemptChannel {
     readonly head: AnswerHead;
+    /** Time that the attempt waited in the agent's queue, in milliseconds. */
+    readonly queueMs: number;
     /** Bytes received, counted from the start of the attempt's answer. */
     getReceived(): number;
     readInto(sink: ChannelSink): void;
@@ -47,13 +51,6 @@
     | { kind: OpeningKind.NotRun; refusal: Refusal; load: LoadNews | undefined }
     | { kind: OpeningKind.Lost; reason: string };
 
-/** Load that came with an answer. */
-export interface LoadNews {
-    queued: number;
-    running: number;
-    isDraining: boolean;
-}
-
 /** A request for an agent. */
 export interface ChannelRequest {
     agent: AgentAddress;
@@ -191,6 +188,7 @@
     response.on("close", () => end(isWhole() ? ChannelEnd.Whole : ChannelEnd.Cut));
     return {
         head: { status: response.statusCode ?? 0, headers: copyEndToEndHeaders(response.headers, ["trailer"]) },
+        queueMs: Number(getHeader(response.headers, HopHeader.QueueMs) ?? "0"),
         getReceived: () => received,
         readInto,
         resume() {
@@ -280,6 +278,13 @@
     if (text === undefined) {
         return undefined;
     }
-    const [queued, running, draining] = text.split(",").map(Number);
-    return { queued: queued ?? 0, running: running ?? 0, isDraining: draining === 1 };
+    const [queued = 0, running = 0, draining = 0, urgent = 0, standard = 0, deferrable = 0] = text
+        .split(",")
+        .map(Number);
+    const ahead = {
+        [WorkRank.Urgent]: urgent,
+        [WorkRank.Standard]: standard,
+        [WorkRank.Deferrable]: deferrable,
+    };
+    return { queued, running, isDraining: draining === 1, ahead };
 }
--- a/src/router/attempts/AttemptRunner.ts
+++ b/src/router/attempts/AttemptRunner.ts
@@ -1,14 +1,15 @@
 import { SpanKind, context as spanContext, trace } from "@opentelemetry/api";
 import { match } from "ts-pattern";
 import { AnswerEnd } from "../../agent/KeptAnswer.js";
+import type { Handover } from "../../agent/Handover.js";
 import { AttemptState } from "../../agent/AttemptLedger.js";
-import { Cause, type Refusal } from "../../protocol/index.js";
+import { Cause, type Refusal, readAttemptTime } from "../../protocol/index.js";
 import { EventId, endSpan } from "../../telemetry/index.js";
 import { readMonotonicMs } from "../../utils/time.js";
 import { type ReadyExchange, computeDeadline } from "../Exchange.js";
 import type { RouterContext } from "../RouterContext.js";
 import { type AttemptPlan, buildAttemptRequest, buildFollowRequest } from "./Attempt.js";
-import { type AttemptChannel, type ChannelRequest, type Opening, OpeningKind, openChannel } from "./AttemptChannel.js";
+import { type ChannelRequest, type Opening, OpeningKind, openChannel } from "./AttemptChannel.js";
 import type { AnswerSink } from "./AnswerSink.js";
 import { relayAnswer } from "./relayAnswer.js";
 
@@ -32,12 +33,22 @@
 export interface AttemptResult {
     end: AttemptEnd;
     refusal?: Refusal;
+    /** The endpoint died under the attempt. */
+    isEndpointDead?: boolean;
+}
+
+/** Options of an attempt. */
+export interface AttemptOptions {
+    /** Digest of team and idempotency key; empty for idempotent work. */
+    keyDigest: string;
+    /** Runs apart from all others. */
+    isIsolated: boolean;
 }
 
 /** Runs attempts at agents, and follows them over new connections when one goes silent. */
 export interface AttemptRunner {
     /** Opens an attempt, and relays its answer. */
-    runAttempt(plan: AttemptPlan, body: Buffer, keyDigest: string): Promise<AttemptResult>;
+    runAttempt(plan: AttemptPlan, body: Buffer, options: AttemptOptions): Promise<AttemptResult>;
     /** Follows an attempt that may be running already, and relays its answer. */
     followAttempt(plan: AttemptPlan): Promise<AttemptResult>;
 }
@@ -59,7 +70,7 @@
 ): AttemptRunner {
     return { runAttempt, followAttempt };
 
-    async function runAttempt(plan: AttemptPlan, body: Buffer, keyDigest: string): Promise<AttemptResult> {
+    async function runAttempt(plan: AttemptPlan, body: Buffer, options: AttemptOptions): Promise<AttemptResult> {
         const parent = trace.setSpan(spanContext.active(), exchange.span);
         const facts = { attempt: plan.id, endpoint: plan.agent.host };
         const span = context.tracing.startSpan("router.attempt", SpanKind.CLIENT, parent, facts);
@@ -70,7 +81,7 @@
             body,
             deadline: computeDeadline(exchange),
             now: readMonotonicMs(),
-            keyDigest,
+            ...options,
             processKey: context.processKey,
             traceHeaders,
             signal,
@@ -94,7 +105,7 @@
             directory: context.directory,
             watch: context.watch,
             onLoad(news) {
-                context.table.recordLoad(request.agent.host, news.queued, news.running, news.isDraining);
+                context.table.recordLoad(request.agent.host, news);
             },
         });
     }
@@ -104,7 +115,8 @@
             return { end: AttemptEnd.NotRun, refusal: opening.refusal };
         }
         if (opening.kind === OpeningKind.Answering) {
-            const isWhole = await relay(opening.channel);
+            exchange.queueMs = opening.channel.queueMs;
+            const isWhole = await relayAnswer(opening.channel, sink, signal);
             if (isWhole) {
                 context.table.recordSuccess(plan.agent.host);
                 return { end: AttemptEnd.Answered };
@@ -117,28 +129,53 @@
         return recoverAttempt(plan, follows);
     }
 
-    function relay(channel: AttemptChannel): Promise<boolean> {
-        return relayAnswer(channel, sink, signal);
-    }
-
     /** Asks the agent over another connection what became of the attempt. */
     async function recoverAttempt(plan: AttemptPlan, follows: number): Promise<AttemptResult> {
         const report = await context.directory.settleAttempt(plan.agent, plan.id);
         if (report === undefined || report.incarnation !== plan.incarnation) {
-            return { end: AttemptEnd.Unknown };
+            return recoverFromHandover(plan);
         }
         return match(report.state)
             .with(AttemptState.NeverSeen, AttemptState.Tombstoned, () => ({ end: AttemptEnd.NotRun }))
+            .with(AttemptState.Forgotten, () => ({ end: AttemptEnd.Unknown }))
             .with(AttemptState.Queued, AttemptState.Running, () => followAgain(plan, follows))
             .with(AttemptState.Done, () => {
                 if (report.end !== AnswerEnd.Whole) {
-                    return { end: AttemptEnd.Broken };
+                    return { end: AttemptEnd.Broken, isEndpointDead: report.isEndpointDead };
                 }
                 return report.isAnswerKept ? followAgain(plan, follows) : { end: AttemptEnd.AnswerGone };
             })
             .exhaustive();
     }
 
+    /** An agent that stopped in order has left its finished calls, and will never run any other. */
+    async function recoverFromHandover(plan: AttemptPlan): Promise<AttemptResult> {
+        const left = exchange.target.isIdempotent ? undefined : await readHandover(plan);
+        if (left === undefined) {
+            return { end: AttemptEnd.Unknown };
+        }
+        const handed = left.attempts.get(plan.id);
+        if (handed === undefined) {
+            const isForgettable = readAttemptTime(plan.id) <= left.forgottenUpTo;
+            return { end: isForgettable ? AttemptEnd.Unknown : AttemptEnd.NotRun };
+        }
+        if (!handed.isWhole || handed.body === undefined) {
+            return { end: handed.isWhole ? AttemptEnd.AnswerGone : AttemptEnd.Broken };
+        }
+        sink.takeHead(handed.head);
+        sink.takeChunk(handed.body.subarray(sink.getReceived(plan.id)));
+        sink.finish();
+        return { end: AttemptEnd.Answered };
+    }
+
+    async function readHandover(plan: AttemptPlan): Promise<Handover | undefined> {
+        try {
+            return await context.handovers.readHandover(plan.agent.host, plan.incarnation);
+        } catch {
+            return undefined;
+        }
+    }
+
     async function followAgain(plan: AttemptPlan, follows: number): Promise<AttemptResult> {
         if (follows >= MAX_FOLLOWS) {
             return { end: AttemptEnd.Unknown };
--- a/src/router/attempts/chooseView.ts
+++ b/src/router/attempts/chooseView.ts
@@ -1,3 +1,4 @@
+import type { WorkRank } from "../../config/index.js";
 import type { EndpointView } from "../../membership/index.js";
 import type { Candidate } from "../../scheduling/index.js";
 import { readMonotonicMs } from "../../utils/time.js";
@@ -23,21 +24,21 @@
     tried: ReadonlySet<string>,
 ): EndpointView | undefined {
     const now = readMonotonicMs();
-    const { kind, name, prefixHash } = exchange.target;
+    const { kind, name, prefixHash, rank } = exchange.target;
     const views = context.table.listUsable(kind, name, now);
-    const candidates = views.map(view => createCandidate(view, now));
+    const candidates = views.map(view => createCandidate(view, rank, now));
     const structure = { prefixHash, zone: context.zone, triedHosts: tried };
     return context.choice.chooseEndpoint(candidates, structure)?.view;
 }
 
-function createCandidate(view: EndpointView, now: number): ViewCandidate {
+function createCandidate(view: EndpointView, rank: WorkRank, now: number): ViewCandidate {
     const { fact } = view;
     const age = now - view.knownSince;
     return {
         view,
         host: fact.host,
         zone: fact.zone,
-        load: Math.max(fact.queued + fact.running, view.inFlight),
+        load: Math.max(fact.ahead[rank], view.inFlight),
         concurrency: fact.concurrency,
         isAvoided: view.avoidedUntil > now,
         warmth: Math.min(1, Math.max(LEAST_WARMTH, age / WARM_UP_MS)),
--- a/src/router/claims/Claim.ts
+++ b/src/router/claims/Claim.ts
@@ -19,6 +19,14 @@
 /** Right to run a non-idempotent request: at most one attempt holds it. */
 export type Claim = z.infer<typeof claimSchema>;
 
+/** Key of a claim. */
+export interface ClaimKey {
+    /** Digest of team and idempotency key. */
+    digest: string;
+    /** Key as the caller sent it, which may carry its time. */
+    idempotencyKey: string;
+}
+
 /** A claim with the mark by which it can be moved. */
 export interface HeldClaim {
     claim: Claim;
@@ -38,16 +46,16 @@
     /**
      * Claims a key for an attempt unless another one holds it.
      * Rejects with `PlatformUnavailable` or `PlatformUncertain` when the platform fails.
-     * @param key - Digest of team and idempotency key.
+     * @param key - Team and idempotency key.
      * @param claim - Claim to make.
      */
-    abstract openClaim(key: string, claim: Claim): Promise<ClaimAnswer>;
+    abstract openClaim(key: ClaimKey, claim: Claim): Promise<ClaimAnswer>;
 
     /**
      * Moves a claim from an attempt that can't run any more to a new one.
-     * @param key - Digest of team and idempotency key.
+     * @param key - Team and idempotency key.
      * @param held - Claim to replace.
      * @param claim - New claim.
      */
-    abstract moveClaim(key: string, held: HeldClaim, claim: Claim): Promise<ClaimAnswer>;
+    abstract moveClaim(key: ClaimKey, held: HeldClaim, claim: Claim): Promise<ClaimAnswer>;
 }
--- a/src/router/claims/SingleClaimStore.ts
+++ b/src/router/claims/SingleClaimStore.ts
@@ -1,6 +1,6 @@
 import { type KeyValueEntry, type KeyValueService, swapSurely } from "../../platform/index.js";
 import { ErrorCode, createError } from "../../errors/index.js";
-import { type Claim, type ClaimAnswer, ClaimStore, type HeldClaim, claimSchema } from "./Claim.js";
+import { type Claim, type ClaimAnswer, type ClaimKey, ClaimStore, type HeldClaim, claimSchema } from "./Claim.js";
 
 const PREFIX = "claims/single/";
 
@@ -10,12 +10,12 @@
  */
 export function createSingleClaimStore(service: KeyValueService): ClaimStore {
     return new (class SingleClaimStore extends ClaimStore {
-        override openClaim(key: string, claim: Claim): Promise<ClaimAnswer> {
-            return writeClaim(key, claim, 0);
+        override openClaim(key: ClaimKey, claim: Claim): Promise<ClaimAnswer> {
+            return writeClaim(key.digest, claim, 0);
         }
 
-        override moveClaim(key: string, held: HeldClaim, claim: Claim): Promise<ClaimAnswer> {
-            return writeClaim(key, claim, Number(held.mark));
+        override moveClaim(key: ClaimKey, held: HeldClaim, claim: Claim): Promise<ClaimAnswer> {
+            return writeClaim(key.digest, claim, Number(held.mark));
         }
     })();
 
--- a/src/router/filters/runOnce.ts
+++ b/src/router/filters/runOnce.ts
@@ -1,17 +1,19 @@
 import { match } from "ts-pattern";
 import { ErrorCode, hasErrorCode } from "../../errors/index.js";
 import type { EndpointView } from "../../membership/index.js";
-import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
+import { Cause, Outcome, type Refusal, createAttemptId } from "../../protocol/index.js";
 import { EventId } from "../../telemetry/index.js";
-import { computeDigest, createId } from "../../utils/digest.js";
+import { computeDigest } from "../../utils/digest.js";
 import { readMonotonicMs } from "../../utils/time.js";
 import type { ReadyExchange } from "../Exchange.js";
 import type { RouterContext } from "../RouterContext.js";
 import { type AttemptPlan, createAttemptPlan } from "../attempts/Attempt.js";
 import { AttemptEnd, type AttemptResult, createAttemptRunner, getCause } from "../attempts/AttemptRunner.js";
+import { createSuspicion } from "../attempts/Suspicion.js";
 import { chooseView } from "../attempts/chooseView.js";
 import { createWholeSink } from "../attempts/WholeSink.js";
 import type { Claim, ClaimAnswer, HeldClaim } from "../claims/Claim.js";
+import { isKeyExpired } from "../claims/claimPlace.js";
 import { confirmNotRun } from "../claims/confirmNotRun.js";
 
 const MAX_MOVES = 6;
@@ -43,7 +45,9 @@
     exchange: ReadyExchange,
     signal: AbortSignal,
 ): Promise<Refusal | undefined> {
-    const key = computeDigest(exchange.team.name, exchange.idempotencyKey);
+    const { idempotencyKey } = exchange;
+    const digest = computeDigest(exchange.team.name, idempotencyKey);
+    const key = { digest, idempotencyKey };
     const body = computeDigest(exchange.target.method, exchange.target.path, exchange.body);
     const sink = createWholeSink({
         response: exchange.response,
@@ -53,7 +57,17 @@
     });
     const runner = createAttemptRunner(context, exchange, sink, signal);
     const tried = new Set<string>();
-    return runClaimed();
+    const suspicion = createSuspicion(context, exchange);
+    return findExpiry() ?? suspicion.findRefusal(false) ?? runClaimed();
+
+    /** Of a key past the retention nothing is known, so its outcome is unknown and it is not run. */
+    function findExpiry(): Refusal | undefined {
+        if (!isKeyExpired(idempotencyKey, Date.now())) {
+            return undefined;
+        }
+        const detail = "the time in the idempotency key is past the retention of 24 hours";
+        return createRefusal(STATUS_CONFLICT, Outcome.Unknown, Cause.KeyExpired, detail, undefined);
+    }
 
     async function runClaimed(): Promise<Refusal | undefined> {
         const first = chooseView(context, exchange, tried);
@@ -68,6 +82,7 @@
                 return createRefusal(STATUS_CONFLICT, Outcome.NotRun, Cause.KeyReused, REUSED_DETAIL, undefined);
             }
             const result = await runStep(step);
+            await suspicion.recordResult(result);
             if (result.end !== AttemptEnd.NotRun) {
                 return createFinalRefusal(result);
             }
@@ -87,7 +102,7 @@
         }
         if (step.isToOpen) {
             tried.add(plan.agent.host);
-            return runner.runAttempt(plan, exchange.body, key);
+            return runner.runAttempt(plan, exchange.body, { keyDigest: digest, isIsolated: suspicion.isSuspect() });
         }
         context.logger.logEvent(EventId.ClaimJoined, { trace: exchange.traceId, attempt: plan.id });
         return runner.followAttempt(plan);
@@ -121,6 +136,9 @@
 
     async function refuseWithoutPlatform(error: unknown): Promise<Refusal> {
         context.logger.logFailure(EventId.ClaimUncertain, error, { trace: exchange.traceId });
+        if (hasErrorCode(error, ErrorCode.TooLarge)) {
+            return refuseUnclaimed(Cause.ClaimStoreFull, "too many claims are kept", PLATFORM_RETRY_MS);
+        }
         const isDown = hasErrorCode(error, ErrorCode.PlatformUnavailable);
         const cause = isDown ? Cause.PlatformUnavailable : Cause.ClaimUncertain;
         return refuseUnclaimed(cause, "the platform's key-value service can't be reached", PLATFORM_RETRY_MS);
@@ -128,7 +146,7 @@
 
     /** Without a look at the claim, only the agents can tell that the key was not run before. */
     async function refuseUnclaimed(cause: Cause, detail: string, retryAfterMs: number): Promise<Refusal> {
-        const isNotRun = await confirmNotRun(context, exchange.target, key);
+        const isNotRun = await confirmNotRun(context, exchange.target, digest);
         const outcome = isNotRun ? Outcome.NotRun : Outcome.Unknown;
         return createRefusal(STATUS_UNAVAILABLE, outcome, cause, detail, retryAfterMs);
     }
@@ -139,7 +157,7 @@
 const NOT_RUN_DETAIL = "no other endpoint takes the request";
 
 function createVacantPlan(): AttemptPlan {
-    return { id: createId("att"), agent: { host: VACANT_HOST, address: "", port: 0 }, incarnation: "" };
+    return { id: createAttemptId(), agent: { host: VACANT_HOST, address: "", port: 0 }, incarnation: "" };
 }
 
 function isVacant(claim: Claim): boolean {
--- a/src/router/filters/runRepeatable.ts
+++ b/src/router/filters/runRepeatable.ts
@@ -5,6 +5,7 @@
 import type { RouterContext } from "../RouterContext.js";
 import { createAttemptPlan } from "../attempts/Attempt.js";
 import { AttemptEnd, type AttemptResult, createAttemptRunner, getCause } from "../attempts/AttemptRunner.js";
+import { createSuspicion } from "../attempts/Suspicion.js";
 import { chooseView } from "../attempts/chooseView.js";
 import { buildResumedBody } from "../attempts/resumption.js";
 import { createStreamSink } from "../attempts/StreamSink.js";
@@ -36,6 +37,7 @@
     const whole = createWholeSink(observer);
     const runner = createAttemptRunner(context, exchange, stream ?? whole, signal);
     const tried = new Set<string>();
+    const suspicion = createSuspicion(context, exchange);
     let result: AttemptResult | undefined;
     let mayHaveRun = false;
     context.retries.recordFirstAttempt();
@@ -43,12 +45,20 @@
         if (attempt > 0 && !canTryAgain()) {
             break;
         }
+        const refusal = suspicion.findRefusal(mayHaveRun);
+        if (refusal !== undefined) {
+            return failExchange(refusal);
+        }
         const view = chooseView(context, exchange, tried);
         if (view === undefined) {
             break;
         }
         tried.add(view.fact.host);
-        result = await runner.runAttempt(createAttemptPlan(view), prepareBody(attempt), "");
+        result = await runner.runAttempt(createAttemptPlan(view), prepareBody(attempt), {
+            keyDigest: "",
+            isIsolated: suspicion.isSuspect(),
+        });
+        await suspicion.recordResult(result);
         if (result.end === AttemptEnd.Answered || result.end === AttemptEnd.Abandoned) {
             return undefined;
         }
@@ -85,8 +95,9 @@
         if (stream?.isStarted() !== true) {
             return refusal;
         }
-        stream.fail({ ...refusal, outcome: Outcome.Ran, cause: Cause.AnswerCut }, exchange.traceId);
-        exchange.failure = Cause.AnswerCut;
+        const cause = refusal.cause === Cause.CrashSuspected ? refusal.cause : Cause.AnswerCut;
+        stream.fail({ ...refusal, outcome: Outcome.Ran, cause }, exchange.traceId);
+        exchange.failure = cause;
         return undefined;
     }
 }
--- a/src/router/routerControl.ts
+++ b/src/router/routerControl.ts
@@ -10,7 +10,7 @@
     documentVersion: z.number().int(),
     facts: z.array(endpointFactSchema),
     /** Digests of requests under which endpoints died, with the number of endpoints. */
-    suspects: z.array(z.object({ digest: z.string(), losses: z.number().int() })),
+    suspects: z.array(z.object({ digest: z.string(), losses: z.number().int(), generation: z.number().int() })),
 });
 
 /** What a router tells its peers. */
--- a/src/router/startRouter.ts
+++ b/src/router/startRouter.ts
@@ -1,11 +1,14 @@
 import http from "node:http";
+import { IncidentKind, type SettledFacts, createAccount, startSummaryWriter } from "../account/index.js";
+import { type AdminHandler, createAdminApi } from "../admin/AdminApi.js";
+import { createHandoverStore } from "../agent/Handover.js";
 import {
     type DocumentHolder,
     type RouterSettings,
     createDocumentHolder,
     createDocumentRepository,
 } from "../config/index.js";
-import { type DocumentSync, startDocumentSync } from "../config/DocumentSync.js";
+import { startDocumentSync } from "../config/DocumentSync.js";
 import { startControlServer } from "../control/index.js";
 import {
     type EndpointTable,
@@ -17,7 +20,8 @@
     startPeerExchange,
 } from "../membership/index.js";
 import { createHttpHostList, createHttpKeyValueService } from "../platform/index.js";
-import { createAffinityChoice, createRetryBudget } from "../scheduling/index.js";
+import { Cause } from "../protocol/index.js";
+import { type SuspectTable, createAffinityChoice, createRetryBudget, createSuspectTable } from "../scheduling/index.js";
 import {
     EventId,
     type Logger,
@@ -31,19 +35,21 @@
 import type { RunningProgram } from "../utils/program.js";
 import { readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
 import type { RouterContext } from "./RouterContext.js";
-import { createRouterServer } from "./RouterServer.js";
+import { type SettledExchange, createRouterServer } from "./RouterServer.js";
 import { createAgentDirectory } from "./attempts/AgentDirectory.js";
 import { createSilenceWatch } from "./attempts/SilenceWatch.js";
-import { createSingleClaimStore } from "./claims/SingleClaimStore.js";
+import { createGroupClaimStore } from "./claims/GroupClaimStore.js";
 import { type PeerMessage, buildRouterControl } from "./routerControl.js";
 
 const HOST_LIST_MS = 1_000;
 const WATCHERS_PER_ZONE = 2;
-const RETRY_SHARE = 0.1;
-const MAX_SAVED_RETRIES = 50;
+const RETRY_SHARE = 0.08;
+const MAX_SAVED_RETRIES = 20;
 const MAX_LOAD_FACTOR = 1.25;
 const ZONE_TOLERANCE = 0.25;
 const STATUS_NOT_FOUND = 404;
+const CLAIM_PARTITIONS = 16;
+const CLAIM_LINGER_MS = 30;
 const DRAIN_POLL_MS = 50;
 
 /**
@@ -60,13 +66,16 @@
     const peers = createPeerDirectory(settings.host, settings.routers);
     const keyValue = createHttpKeyValueService({ url: settings.platform.keyValue });
     const hostList = createHttpHostList(settings.platform.hostList);
+    const repository = createDocumentRepository(keyValue);
     const sync = startDocumentSync({
         environment: settings.environment,
         holder,
-        repository: createDocumentRepository(keyValue),
+        repository,
         isWatcher: () => isWatcher(settings, peers),
         logger,
     });
+    const suspects = createSuspectTable();
+    const account = createAccount(settings.zone, settings.host);
     const context: RouterContext = {
         host: settings.host,
         zone: settings.zone,
@@ -80,7 +89,16 @@
             random: Math.random,
         }),
         retries: createRetryBudget({ share: RETRY_SHARE, maxSaved: MAX_SAVED_RETRIES }),
-        claims: createSingleClaimStore(keyValue),
+        claims: createGroupClaimStore({
+            service: keyValue,
+            partitions: CLAIM_PARTITIONS,
+            lingerMs: CLAIM_LINGER_MS,
+            random: Math.random,
+        }),
+        handovers: createHandoverStore(keyValue),
+        suspects,
+        spreadSuspects: () => exchange.sendToAll(),
+        recordIncident: (kind, subject) => account.recordIncident(kind, subject),
         logger,
         metrics,
         tracing,
@@ -92,21 +110,42 @@
         peers,
         table,
         getDocumentVersion: holder.getVersion,
-        listSuspects: () => [],
+        listSuspects: () => suspects.listSuspects(readMonotonicMs()),
         onDocument: (stored, from) => sync.takeDocument(stored, from),
         logger,
     });
     holder.onApplied(stored => {
         metrics.documentVersion.set(stored.version);
+        account.recordIncident(IncidentKind.DocumentApplied, String(stored.version));
         void exchange.sendNow();
     });
     const callers = createRouterServer({
         context,
         getIndex: holder.getIndex,
         limits: settings.limits,
-        onSettled: () => undefined,
+        onSettled: settled => account.recordSettled(createSettledFacts(settled)),
     });
-    const control = await startControl(settings, { holder, table, exchange, zone: settings.zone });
+    const adminApi = createAdminApi({
+        settings,
+        change: {
+            repository,
+            holder,
+            host: settings.host,
+            environment: settings.environment,
+            publish: async stored => {
+                sync.takeDocument(stored, "operator");
+                await exchange.sendNow();
+            },
+            queryVersions: exchange.queryVersions,
+        },
+        table,
+        account,
+        service: keyValue,
+        drainEndpoint: host => drainEndpoint(context, host),
+        logger,
+    });
+    const summaries = startSummaryWriter({ service: keyValue, account, logger, random: Math.random });
+    const control = await startControl(settings, { holder, table, exchange, suspects, zone: settings.zone, adminApi });
     const monitoring = await startMetricsServer(
         metrics,
         { isReady: () => holder.getVersion() > 0 && !callers.isDraining() },
@@ -133,7 +172,7 @@
         while (callers.getConcurrent() > 0) {
             await waitFor(DRAIN_POLL_MS);
         }
-        await Promise.all([sync.stop(), exchange.stop(), hostLoop.stop()]);
+        await Promise.all([sync.stop(), exchange.stop(), hostLoop.stop(), summaries.stop()]);
         context.watch.stop();
         context.directory.close();
         control.close();
@@ -143,17 +182,46 @@
     }
 }
 
+/** Tells an agent to take no new work; its heartbeat then tells all routers. */
+async function drainEndpoint(context: RouterContext, host: string): Promise<boolean> {
+    const view = context.table.getEndpoint(host);
+    return view !== undefined && (await context.directory.drain(view.fact));
+}
+
+function createSettledFacts(settled: SettledExchange): SettledFacts {
+    const { exchange, refusal } = settled;
+    const { target, team, firstByteAt, arrivedAt } = exchange;
+    return {
+        rank: target?.rank ?? "none",
+        team: team?.name ?? "",
+        weight: team?.weight ?? 1,
+        cost: target?.cost ?? 0,
+        cause: refusal?.cause ?? exchange.failure ?? (exchange.isCallerGone ? Cause.CallerGone : Cause.None),
+        traceId: exchange.traceId,
+        hosts: exchange.hosts,
+        firstByteMs: firstByteAt === undefined ? undefined : firstByteAt - arrivedAt,
+        targetMs: target === undefined ? undefined : exchange.index.getRank(target.rank).targetMs,
+        queueMs: exchange.queueMs,
+    };
+}
+
 interface ControlParts {
     holder: DocumentHolder;
     table: EndpointTable;
     exchange: PeerExchange;
+    suspects: SuspectTable;
     zone: string;
+    adminApi: AdminHandler;
 }
 
 async function startControl(settings: RouterSettings, parts: ControlParts): Promise<{ close(): void }> {
     const { holder, table, exchange } = parts;
-    const server = http.createServer((unhandled, response) => {
-        sendJson(response, STATUS_NOT_FOUND, { error: `no ${unhandled.url ?? "path"} here` });
+    const server = http.createServer((request, response) => {
+        if (request.url?.startsWith("/admin/v1/") === true) {
+            void parts.adminApi(request, response);
+        } else {
+            sendJson(response, STATUS_NOT_FOUND, { error: "expected a path below /admin/v1/" });
+        }
     });
     const router = buildRouterControl({
         holder,
@@ -183,6 +251,7 @@
     const origin = message.zone === parts.zone ? FactOrigin.OwnZone : FactOrigin.OtherZone;
     const now = readMonotonicMs();
     message.facts.forEach(fact => parts.table.recordFact(fact, origin, now));
+    parts.suspects.mergeSuspects(message.suspects, now);
     parts.exchange.handleVersion(message.host, message.documentVersion);
 }
 
@@ -217,6 +286,3 @@
     const score = computeHash32(settings.host);
     return own.filter(peer => computeHash32(peer.host) > score).length < WATCHERS_PER_ZONE;
 }
-
-/** Type of the synchronisation, for the administration API. */
-export type { DocumentSync };
--- a/src/scheduling/ServiceRate.ts
+++ b/src/scheduling/ServiceRate.ts
@@ -6,6 +6,8 @@
     getMsPerCost(): number;
     /** Time from the slot to the first byte, in milliseconds. */
     getFirstByteMs(): number;
+    /** Time of a run, in milliseconds. */
+    getRunMs(): number;
 }
 
 const SMOOTHING = 0.1;
@@ -17,16 +19,19 @@
  */
 export function createServiceRate(initialMsPerCost: number): ServiceRate {
     let runs = 0;
-    let msPerCost = initialMsPerCost;
+    let meanCost = 1;
     let firstByte = 0;
+    let run = initialMsPerCost;
     return {
         recordRun(cost, durationMs, firstByteMs) {
             runs++;
             const share = Math.max(SMOOTHING, 1 / Math.min(runs, WARM_UP_RUNS));
-            msPerCost += share * (durationMs / Math.max(1, cost) - msPerCost);
+            meanCost += share * (Math.max(1, cost) - meanCost);
             firstByte += share * (firstByteMs - firstByte);
+            run += share * (durationMs - run);
         },
-        getMsPerCost: () => msPerCost,
+        getMsPerCost: () => run / meanCost,
         getFirstByteMs: () => firstByte,
+        getRunMs: () => run,
     };
 }
--- a/src/scheduling/TeamShares.ts
+++ b/src/scheduling/TeamShares.ts
@@ -6,13 +6,15 @@
     /** Takes the next item of the team with the least virtual time. */
     takeItem(): WorkItem | undefined;
     removeItem(id: string): WorkItem | undefined;
+    /** Gives the item that waits for longest. */
+    getOldest(): WorkItem | undefined;
     /** Takes the items whose deadline is before a time. */
     takeLateItems(before: number): WorkItem[];
     /** Takes the last item of the team that waits for most in relation to its weight. */
     takeLongestTeamTail(): WorkItem | undefined;
     /** Corrects the virtual time of a team once the real cost is known. */
     correctCost(item: WorkItem, realCost: number): void;
-    /** Cost that is served before a new item of a team, itself included. */
+    /** Cost that is served before a new item of a team. */
     predictCostAhead(item: Pick<WorkItem, "team" | "weight" | "cost">): number;
     countItems(): number;
     getCost(): number;
@@ -33,19 +35,20 @@
 export function createTeamShares(): TeamShares {
     const lanes = new Map<string, TeamLane>();
     const active = new Set<TeamLane>();
+    const byId = new Map<string, WorkItem>();
     let virtualNow = 0;
-    let count = 0;
     let cost = 0;
 
     return {
         addItem,
         takeItem,
         removeItem,
+        getOldest: () => byId.values().next().value,
         takeLateItems,
         takeLongestTeamTail,
         correctCost,
         predictCostAhead,
-        countItems: () => count,
+        countItems: () => byId.size,
         getCost: () => cost,
         getTeamCost: team => lanes.get(team)?.cost ?? 0,
     };
@@ -57,18 +60,20 @@
             active.add(lane);
         }
         lane.items.push(item);
-        addCost(lane, item.cost, 1);
+        lane.cost += item.cost;
+        cost += item.cost;
+        byId.set(item.id, item);
     }
 
     function takeItem(): WorkItem | undefined {
         const lane = findNextLane();
-        const item = lane?.items.shift();
+        const item = lane?.items[0];
         if (lane === undefined || item === undefined) {
             return undefined;
         }
         virtualNow = lane.virtualTime;
         lane.virtualTime += item.cost / lane.weight;
-        addCost(lane, -item.cost, -1);
+        removeFromLane(lane, item);
         return item;
     }
 
@@ -83,28 +88,24 @@
     }
 
     function removeItem(id: string): WorkItem | undefined {
-        for (const lane of active) {
-            const place = lane.items.findIndex(item => item.id === id);
-            if (place !== -1) {
-                const [item] = lane.items.splice(place, 1);
-                addCost(lane, -(item?.cost ?? 0), -1);
-                return item;
-            }
+        const item = byId.get(id);
+        const lane = item && lanes.get(item.team);
+        if (item !== undefined && lane !== undefined) {
+            removeFromLane(lane, item);
         }
-        return undefined;
+        return item;
     }
 
+    /** Items of one rank have the same target, so the oldest are late first. */
     function takeLateItems(before: number): WorkItem[] {
         const late: WorkItem[] = [];
-        for (const lane of [...active]) {
-            const kept = lane.items.filter(item => item.deadline >= before);
-            if (kept.length < lane.items.length) {
-                const gone = lane.items.filter(item => item.deadline < before);
-                lane.items = kept;
-                gone.forEach(item => addCost(lane, -item.cost, -1));
-                late.push(...gone);
+        for (const item of byId.values()) {
+            if (item.deadline >= before) {
+                break;
             }
+            late.push(item);
         }
+        late.forEach(item => removeItem(item.id));
         return late;
     }
 
@@ -115,11 +116,8 @@
                 longest = lane;
             }
         }
-        const item = longest?.items.pop();
-        if (longest !== undefined && item !== undefined) {
-            addCost(longest, -item.cost, -1);
-        }
-        return item;
+        const item = longest?.items.at(-1);
+        return item && removeItem(item.id);
     }
 
     function correctCost(item: WorkItem, realCost: number): void {
@@ -130,8 +128,8 @@
     }
 
     function predictCostAhead(item: Pick<WorkItem, "team" | "weight" | "cost">): number {
-        const own = (lanes.get(item.team)?.cost ?? 0) + item.cost;
-        const turn = own / item.weight;
+        const own = lanes.get(item.team)?.cost ?? 0;
+        const turn = (own + item.cost) / item.weight;
         let ahead = own;
         for (const lane of active) {
             if (lane.team !== item.team) {
@@ -164,10 +162,12 @@
         }
     }
 
-    function addCost(lane: TeamLane, itemCost: number, items: number): void {
-        lane.cost += itemCost;
-        cost += itemCost;
-        count += items;
+    function removeFromLane(lane: TeamLane, item: WorkItem): void {
+        const place = lane.items.indexOf(item);
+        lane.items.splice(place, 1);
+        lane.cost -= item.cost;
+        cost -= item.cost;
+        byId.delete(item.id);
         if (lane.items.length === 0) {
             lane.cost = 0;
             active.delete(lane);
--- a/src/scheduling/WorkQueue.ts
+++ b/src/scheduling/WorkQueue.ts
@@ -84,6 +84,12 @@
     /** Counts the items that hold a slot. */
     abstract countRunning(): number;
 
+    /**
+     * Counts the items that hold a slot or go before a new item of a rank.
+     * @param rank - Rank of work of the item.
+     */
+    abstract countAhead(rank: WorkRank): number;
+
     /**
      * Predicts the wait of a new item, in milliseconds.
      * @param rank - Rank of work of the item.
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -5,3 +5,5 @@
 export * from "./TeamShares.js";
 export * from "./EndpointChoice.js";
 export * from "./RetryBudget.js";
+export * from "./SuspectTable.js";
+export * from "./TeamUsage.js";
--- a/standins/platform/KeyValueStore.ts
+++ b/standins/platform/KeyValueStore.ts
@@ -60,6 +60,7 @@
                 deleteEntry(swap.key);
             } else {
                 writeEntry(swap.key, swap.value);
+                leases.forEach(lease => lease.keys.delete(swap.key));
                 if (swap.leaseId !== undefined) {
                     leases.get(swap.leaseId)?.keys.add(swap.key);
                 }
--- a/standins/service/serviceStandin.ts
+++ b/standins/service/serviceStandin.ts
@@ -34,7 +34,7 @@
 export interface ServiceStandinOptions {
     port?: number;
     /** Receives each run, before the answer. */
-    onRun?: (run: ServiceRun) => void;
+    onRun?: (run: ServiceRun) => Promise<void> | void;
 }
 
 const STATUS_OK = 200;
@@ -70,12 +70,12 @@
             sendJson(response, STATUS_UNAVAILABLE, { error: "busy" });
             return;
         }
-        const run = recordRun(request, path);
+        const run = await recordRun(request, path);
         await waitFor(faults.delayMs);
         answerRun(response, run);
     }
 
-    function recordRun(request: http.IncomingMessage, path: string): ServiceRun {
+    async function recordRun(request: http.IncomingMessage, path: string): Promise<ServiceRun> {
         const run: ServiceRun = {
             method: request.method ?? "GET",
             path,
@@ -84,7 +84,7 @@
             number: runs.length + 1,
         };
         runs.push(run);
-        options.onRun?.(run);
+        await options.onRun?.(run);
         return run;
     }
 
