Coordinate expert maps by permits; prove answers, crashes and silence by test

Change: permits with epochs, coordinator by lease and fence, rebalancing by few moves or a matched rebuild, exhaustive exploration of the shipped transitions, groups in agents over control calls, tests of answers, faults and the ledger. Found by the exploration: a rank that was replaced has forgotten its permit, so a switch could cover a step that it had begun (trace of 17 moves). A fenced rank now reports the last step begun, and lock-step bounds the rest. Found by tests: the agent ended on an answer with a foreign request id (a timer read before its declaration); a planned stop of a router waited up to 20 s for its open watch.

--- a/bench/runBench.ts
+++ b/bench/runBench.ts
@@ -2,6 +2,7 @@
 import { consola } from "consola";
 import meow from "meow";
 import { type Bench, formatHtml, formatReport, isMet } from "./Report.js";
+import { runRebalance } from "./groups/rebalanceBench.js";
 import { runFairness, runFlood, runSlowEndpoint, runStorm } from "./scheduling/benches.js";
 
 const BENCHES: Record<string, Bench> = {
@@ -9,6 +10,7 @@
     fairness: runFairness,
     storm: runStorm,
     "slow-endpoint": runSlowEndpoint,
+    rebalance: runRebalance,
 };
 
 const cli = meow(
--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -97,15 +97,16 @@
     function readAnswer(response: http.IncomingMessage, resolve: (end: EndpointRunEnd) => void): void {
         const echoed = getHeader(response.headers, REQUEST_ID);
         if (echoed !== undefined && echoed !== request.attempt) {
-            failRun("the answer of another request came");
+            resolve({ result: RunResult.Broken, fault: "the answer of another request came" });
+            response.destroy();
             return;
         }
         const check = createCheck(response);
-        let stallTimer = restartStallTimer(undefined);
+        const stallTimer = setTimeout(() => failRun("the endpoint went silent"), options.stallMs);
         options.onFirstByte();
         answer.setHead({ status: response.statusCode ?? 0, headers: copyEndToEndHeaders(response.headers) });
         response.on("data", (chunk: Buffer) => {
-            stallTimer = restartStallTimer(stallTimer);
+            stallTimer.refresh();
             const part = check.checkChunk(chunk);
             if (part.passed.length > 0) {
                 answer.addChunk(part.passed);
@@ -126,14 +127,6 @@
             resolve({ result: RunResult.Broken, fault });
             response.destroy();
         }
-
-        function restartStallTimer(timer: NodeJS.Timeout | undefined): NodeJS.Timeout {
-            if (timer !== undefined) {
-                timer.refresh();
-                return timer;
-            }
-            return setTimeout(() => failRun("the endpoint went silent"), options.stallMs);
-        }
     }
 
     function createCheck(response: http.IncomingMessage): AnswerCheck {
--- a/src/agent/agentControl.ts
+++ b/src/agent/agentControl.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { buildRouter, processProcedure } from "../control/index.js";
+import type { RankGuard } from "../groups/index.js";
 import type { AgentCore, AgentLoad } from "./AgentCore.js";
 import type { AttemptState } from "./AttemptLedger.js";
 import type { AnswerEnd } from "./KeptAnswer.js";
@@ -18,13 +19,20 @@
 }
 
 const idSchema = z.string().regex(/^[A-Za-z0-9-]{1,64}$/);
+const placementSchema = z.array(z.array(z.number().int()));
+const grantSchema = z.object({
+    epoch: z.number().int(),
+    upToStep: z.number().int(),
+    schedule: z.array(z.object({ afterStep: z.number().int(), version: z.number().int() })),
+});
 const MAX_BAR_MS = 600_000;
 
 /**
  * Builds the control procedures of an agent.
  * @param core - Core of the agent.
+ * @param getGuard - Gives the guard of the agent's rank, if the agent belongs to a group.
  */
-export function buildAgentControl(core: AgentCore) {
+export function buildAgentControl(core: AgentCore, getGuard: () => RankGuard | undefined) {
     return buildRouter({
         /** Tells the state of an attempt, and bars it if it was never seen. */
         settleAttempt: processProcedure.input(z.object({ id: idSchema })).mutation(({ input }): AttemptReport => {
@@ -48,6 +56,16 @@
                 isBarred: core.barKey(input.keyDigest, input.barMs),
             })),
         getLoad: processProcedure.query((): AgentLoad => core.getLoad()),
+        /** Shuts out the coordinators of older epochs. */
+        fenceRank: processProcedure
+            .input(z.object({ epoch: z.number().int() }))
+            .mutation(({ input }) => getGuard()?.fence(input.epoch)),
+        /** Lets the rank run further steps. */
+        grantPermit: processProcedure.input(grantSchema).mutation(({ input }) => getGuard()?.grant(input)),
+        /** Makes the rank fetch the weights of a map. */
+        stageMap: processProcedure
+            .input(z.object({ epoch: z.number().int(), version: z.number().int(), placement: placementSchema }))
+            .mutation(({ input }) => getGuard()?.stage(input.epoch, input.version, input.placement)),
         /** Starts a planned stop: no new work is accepted. */
         drain: processProcedure.mutation(() => {
             core.startDraining();
--- a/src/agent/startAgent.ts
+++ b/src/agent/startAgent.ts
@@ -11,12 +11,15 @@
 import { createAgentServer } from "./AgentServer.js";
 import { createAttemptLedger } from "./AttemptLedger.js";
 import { isEndpointGone } from "./EndpointRun.js";
+import { type GroupMember, startGroupMember } from "./GroupMember.js";
 import { createHandoverStore } from "./Handover.js";
 import { startHeartbeats } from "./HeartbeatSender.js";
 import { buildAgentControl } from "./agentControl.js";
 
 const HOST_LIST_MS = 1_000;
 const HEALTH_MS = 500;
+/** Predicted wait of urgent work from which a flood is assumed, in milliseconds. */
+const URGENT_FLOOD_MS = 500;
 const DRAIN_POLL_MS = 50;
 /** Time that readers have to fetch the answers kept, before the process ends, in milliseconds. */
 const LINGER_MS = 500;
@@ -72,7 +75,12 @@
         processKeys: settings.processKeys,
         maxBodyBytes: MAX_BODY_BYTES,
     });
-    const control = startControlServer(server, buildAgentControl(core), settings.processKeys);
+    let member: GroupMember | undefined;
+    const control = startControlServer(
+        server,
+        buildAgentControl(core, () => member?.getGuard()),
+        settings.processKeys,
+    );
     const port = await listenOn(server, settings.listen.data, settings.listen.address);
     const peers = createPeerDirectory(settings.host, settings.routers);
     const hostList = createHttpHostList(settings.platform.hostList);
@@ -107,6 +115,19 @@
         settings.listen.metrics,
         settings.listen.address,
     );
+    if (settings.group !== undefined) {
+        member = startGroupMember({
+            group: settings.group,
+            host: settings.host,
+            address: settings.advertise?.address ?? settings.listen.address,
+            port: settings.advertise?.data ?? port,
+            processKey: settings.processKeys[0] ?? "",
+            engineUrl: settings.endpoint.url,
+            service: createHttpKeyValueService({ url: settings.platform.keyValue }),
+            isUrgentFlood: () => core.getLoad().waitMs > URGENT_FLOOD_MS,
+            logger,
+        });
+    }
     logger.logEvent(EventId.ProcessStarted, { program: "auburnpass-agent", zone: settings.zone });
     return { stop };
 
@@ -157,7 +178,7 @@
         }
         await publishHandover();
         await waitFor(LINGER_MS);
-        await Promise.all([heartbeats.stop(), hostLoop.stop(), healthLoop.stop()]);
+        await Promise.all([heartbeats.stop(), hostLoop.stop(), healthLoop.stop(), member?.stop()]);
         core.stop();
         control.close();
         server.closeAllConnections();
--- a/src/config/DocumentRepository.ts
+++ b/src/config/DocumentRepository.ts
@@ -39,7 +39,12 @@
         writeId: string,
     ): Promise<WriteAnswer>;
     /** Waits for a change of a document. */
-    watchDocument(environment: string, afterRevision: number, timeoutMs: number): Promise<WatchedDocument>;
+    watchDocument(
+        environment: string,
+        afterRevision: number,
+        timeoutMs: number,
+        signal: AbortSignal,
+    ): Promise<WatchedDocument>;
 }
 
 /** News of a document. */
@@ -86,8 +91,9 @@
         environment: string,
         afterRevision: number,
         timeoutMs: number,
+        signal: AbortSignal,
     ): Promise<WatchedDocument> {
-        const answer = await service.watchEntries(createKey(environment), afterRevision, timeoutMs);
+        const answer = await service.watchEntries(createKey(environment), afterRevision, timeoutMs, signal);
         const entry = answer.changed.at(-1);
         return { revision: answer.revision, stored: entry && readEntry(entry) };
     }
--- a/src/config/DocumentSync.ts
+++ b/src/config/DocumentSync.ts
@@ -38,7 +38,7 @@
 
     async function synchronize(signal: AbortSignal): Promise<void> {
         if (options.isWatcher() && holder.getVersion() > 0) {
-            const news = await repository.watchDocument(environment, revision, WATCH_MS);
+            const news = await repository.watchDocument(environment, revision, WATCH_MS, signal);
             revision = news.revision;
             takeRead(news.stored);
         } else {
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -76,6 +76,16 @@
         /** Requests that the endpoint works on at the same time. */
         concurrency: z.number().int().min(1).default(8),
     }),
+    /** Place of the endpoint in a group of ranks that run in lock-step. */
+    group: z
+        .strictObject({
+            name: z.string().min(1),
+            rank: z.number().int().min(0),
+            ranks: z.number().int().min(1),
+            experts: z.number().int().min(1),
+            slotsPerRank: z.number().int().min(1),
+        })
+        .optional(),
     /** Time that the host of the agent is given to finish its work at a planned stop, in milliseconds. */
     drainMs: z.number().int().min(0).default(600_000),
     /** Longest silence of the endpoint after the first byte, in milliseconds. */
--- a/src/platform/HttpKeyValueService.ts
+++ b/src/platform/HttpKeyValueService.ts
@@ -77,10 +77,15 @@
             return Number(answer.result.TTL ?? "0") > 0;
         }
 
-        override watchEntries(prefix: string, afterRevision: number, waitMs: number): Promise<WatchAnswer> {
+        override watchEntries(
+            prefix: string,
+            afterRevision: number,
+            waitMs: number,
+            signal?: AbortSignal,
+        ): Promise<WatchAnswer> {
             const range = encodeRange(prefix);
             const body = JSON.stringify({ create_request: { ...range, start_revision: String(afterRevision + 1) } });
-            return readFirstEvents(new URL("/v3/watch", options.url), body, afterRevision, waitMs);
+            return readFirstEvents(new URL("/v3/watch", options.url), body, { afterRevision, waitMs, signal });
         }
     })();
 
@@ -120,10 +125,17 @@
     }
 }
 
-function readFirstEvents(url: URL, body: string, afterRevision: number, waitMs: number): Promise<WatchAnswer> {
+interface WatchBounds {
+    afterRevision: number;
+    waitMs: number;
+    signal: AbortSignal | undefined;
+}
+
+function readFirstEvents(url: URL, body: string, bounds: WatchBounds): Promise<WatchAnswer> {
     return new Promise((resolve, reject) => {
         const request = http.request(url, { method: "POST", headers: { "content-type": "application/json" } });
-        const timer = setTimeout(() => finish({ revision: afterRevision, changed: [], deleted: [] }), waitMs);
+        const timer = setTimeout(finishEmpty, bounds.waitMs);
+        bounds.signal?.addEventListener("abort", finishEmpty, { once: true });
         let text = "";
         request.on("error", fail);
         request.on("response", response => {
@@ -147,8 +159,13 @@
         });
         request.end(body);
 
+        function finishEmpty(): void {
+            finish({ revision: bounds.afterRevision, changed: [], deleted: [] });
+        }
+
         function finish(answer: WatchAnswer): void {
             clearTimeout(timer);
+            bounds.signal?.removeEventListener("abort", finishEmpty);
             request.destroy();
             resolve(answer);
         }
--- a/src/platform/KeyValueService.ts
+++ b/src/platform/KeyValueService.ts
@@ -76,6 +76,12 @@
      * @param prefix - Prefix of the keys.
      * @param afterRevision - Changes after this revision are wanted.
      * @param timeoutMs - Longest wait in milliseconds; an empty answer ends it.
+     * @param signal - Ends the wait early.
      */
-    abstract watchEntries(prefix: string, afterRevision: number, timeoutMs: number): Promise<WatchAnswer>;
+    abstract watchEntries(
+        prefix: string,
+        afterRevision: number,
+        timeoutMs: number,
+        signal?: AbortSignal,
+    ): Promise<WatchAnswer>;
 }
--- a/standins/engine/engineStandin.ts
+++ b/standins/engine/engineStandin.ts
@@ -11,6 +11,8 @@
 export interface EngineFaults {
     /** A prompt with this text ends the engine. */
     crashText: string;
+    /** Called instead of ending the process when a prompt crashes the engine. */
+    onCrash: () => void;
     /** Answers stop without an end after this many tokens; 0 for never. */
     truncateAfter: number;
     /** Answers go silent after this many tokens; 0 for never. */
@@ -34,8 +36,6 @@
     /** Prefill time for a thousand characters that are not cached, in milliseconds. */
     prefillMsPerKiloChar?: number;
     cacheBlocks?: number;
-    /** Called instead of ending the process when a prompt crashes the engine. */
-    onCrash?: () => void;
 }
 
 /** A run that the engine has done or does. */
@@ -89,6 +89,7 @@
 export async function startEngineStandin(options: EngineStandinOptions): Promise<EngineStandin> {
     const faults: EngineFaults = {
         crashText: "",
+        onCrash: () => process.exit(1),
         truncateAfter: 0,
         stallAfter: 0,
         isCrossed: false,
@@ -147,7 +148,7 @@
         const structure = readPrompt(body);
         if (faults.crashText !== "" && structure.prompt.includes(faults.crashText)) {
             recordRun(request, structure.prompt);
-            (options.onCrash ?? (() => process.exit(1)))();
+            faults.onCrash();
             return;
         }
         const run = recordRun(request, structure.prompt);
@@ -264,12 +265,22 @@
         return [...running].find(other => other !== sequence) ?? sequence;
     }
 
+    function createUsageEvent(sequence: Sequence): string {
+        if (sequence.body.stream_options?.include_usage !== true) {
+            return "";
+        }
+        const usage = { completion_tokens: sequence.run.tokens };
+        const id = `chatcmpl-${sequence.run.attempt}`;
+        const chunk = { id, object: "chat.completion.chunk", model: options.model, choices: [], usage };
+        return `data: ${JSON.stringify(chunk)}\n\n`;
+    }
+
     function finishSequence(sequence: Sequence): void {
         running.delete(sequence);
         sequence.run.ended = true;
         const target = findTarget(sequence);
         if (sequence.body.stream === true) {
-            target.response.end("data: [DONE]\n\n");
+            target.response.end(`${createUsageEvent(sequence)}data: [DONE]\n\n`);
             return;
         }
         const { firstToken } = readPrompt(sequence.body);
--- a/standins/engine/tokens.ts
+++ b/standins/engine/tokens.ts
@@ -14,6 +14,7 @@
     stream?: boolean;
     max_tokens?: number;
     priority?: number;
+    stream_options?: { include_usage?: boolean };
     /** The last message is the start of the answer, to be continued. */
     continue_final_message?: boolean;
 }
--- a/standins/platform/KeyValueStore.ts
+++ b/standins/platform/KeyValueStore.ts
@@ -12,6 +12,8 @@
     getRevision(): number;
     /** Ends a lease at once. */
     endLease(leaseId: string): void;
+    /** Ends all leases, as time would without a renewal. */
+    endLeases(): void;
     /** Changes an entry behind the back of its users, as an old copy of the platform would. */
     overwriteEntry(key: string, value: string): void;
 }
@@ -84,7 +86,12 @@
             return true;
         }
 
-        override async watchEntries(prefix: string, afterRevision: number, timeoutMs: number): Promise<WatchAnswer> {
+        override async watchEntries(
+            prefix: string,
+            afterRevision: number,
+            timeoutMs: number,
+            signal?: AbortSignal,
+        ): Promise<WatchAnswer> {
             const found = collectChanges(prefix, afterRevision);
             if (found !== undefined) {
                 return found;
@@ -92,6 +99,7 @@
             return new Promise(resolve => {
                 const timer = setTimeout(finish, timeoutMs);
                 waiting.add(check);
+                signal?.addEventListener("abort", finish, { once: true });
                 function check(): void {
                     if (collectChanges(prefix, afterRevision) !== undefined) {
                         finish();
@@ -100,6 +108,7 @@
                 function finish(): void {
                     clearTimeout(timer);
                     waiting.delete(check);
+                    signal?.removeEventListener("abort", finish);
                     resolve(collectChanges(prefix, afterRevision) ?? { revision, changed: [], deleted: [] });
                 }
             });
@@ -115,6 +124,10 @@
             lease?.keys.forEach(deleteEntry);
         }
 
+        endLeases(): void {
+            [...leases.keys()].forEach(leaseId => this.endLease(leaseId));
+        }
+
         overwriteEntry(key: string, value: string): void {
             writeEntry(key, value);
         }
--- a/standins/platform/platformStandin.ts
+++ b/standins/platform/platformStandin.ts
@@ -179,10 +179,12 @@
         calls.reads++;
         const prefix = decodeText(watch.create_request.key);
         let after = Number(watch.create_request.start_revision) - 1;
+        const controller = new AbortController();
+        response.on("close", () => controller.abort());
         response.writeHead(STATUS_OK, { "content-type": "application/json" });
         response.write(`${JSON.stringify({ result: { header: createHeader(), created: true } })}\n`);
         while (!response.destroyed && !faults.isDown) {
-            const answer = await store.watchEntries(prefix, after, WATCH_MS);
+            const answer = await store.watchEntries(prefix, after, WATCH_MS, controller.signal);
             after = answer.revision;
             const puts = answer.changed.map(entry => ({ kv: encodeEntry(entry) }));
             const deletions = answer.deleted.map(key => ({ type: "DELETE", kv: { key: encodeText(key) } }));
--- a/tests/fixtures.ts
+++ b/tests/fixtures.ts
@@ -11,6 +11,7 @@
 import { waitFor } from "../src/utils/time.js";
 import { findFreePorts } from "../bench/fleet/ports.js";
 import { type EngineStandin, type EngineStandinOptions, startEngineStandin } from "../standins/engine/engineStandin.js";
+import { type LinkStandin, startLinkStandin } from "../standins/network/linkStandin.js";
 import { type PlatformStandin, startPlatformStandin } from "../standins/platform/platformStandin.js";
 import { type ServiceStandin, startServiceStandin } from "../standins/service/serviceStandin.js";
 
@@ -20,7 +21,7 @@
     engines: EngineStandin[];
     services: ServiceStandin[];
     agents: RunningProgram[];
-    agentPorts: number[];
+    links: LinkStandin[];
     routers: RunningProgram[];
     /** Addresses for callers, one a router. */
     urls: string[];
@@ -38,6 +39,8 @@
     stallMs?: number;
     documentText?: string;
     bodyMs?: number;
+    /** Puts a link with faults in front of each agent. */
+    hasLinks?: boolean;
 }
 
 export const PROCESS_KEY = "process-key-of-the-tests";
@@ -61,7 +64,7 @@
     const engines: EngineStandin[] = [];
     const services: ServiceStandin[] = [];
     const agents: RunningProgram[] = [];
-    const agentPorts: number[] = [];
+    const links: LinkStandin[] = [];
     const routerCount = options.routers ?? 1;
     const ports = await findFreePorts(routerCount * 2);
     const seeds = buildList(routerCount, place => ({
@@ -87,7 +90,7 @@
     const urls = buildList(routerCount, place => `http://${ADDRESS}:${ports[place * 2]}`);
     const controlUrls = seeds.map(seed => `http://${ADDRESS}:${seed.port}`);
     await waitUntilReady();
-    return { platform, engines, services, agents, agentPorts, routers, urls, controlUrls, stop };
+    return { platform, engines, services, agents, links, routers, urls, controlUrls, stop };
 
     function createRouterSettings(host: string, callers: number, control: number): RouterSettings {
         return {
@@ -103,14 +106,16 @@
 
     async function addAgent(host: string, kind: EndpointKind, name: string, url: string): Promise<void> {
         const [data] = await findFreePorts(1);
+        const link = options.hasLinks === true ? await startLinkStandin(data ?? 0) : undefined;
         const settings: AgentSettings = {
             ...createCommonSettings(host),
             listen: { address: ADDRESS, data: data ?? 0, metrics: 0 },
+            advertise: link && { address: ADDRESS, data: link.port },
             endpoint: { kind, name, url, concurrency: 8 },
             drainMs: 5_000,
             stallMs: options.stallMs ?? 1_000,
         };
-        agentPorts.push(data ?? 0);
+        links.push(...(link === undefined ? [] : [link]));
         agents.push(await startAgent(settings));
     }
 
@@ -157,6 +162,6 @@
 
     async function stop(): Promise<void> {
         await Promise.all([...routers, ...agents].map(program => program.stop()));
-        await Promise.all([platform, ...engines, ...services].map(standin => standin.close()));
+        await Promise.all([platform, ...engines, ...services, ...links].map(standin => standin.close()));
     }
 }
--- /dev/null
+++ b/tests/router/answersTests.ts
@@ -0,0 +1,162 @@
+import t from "tap";
+import { readStreamText, sendChat, sendServiceCall } from "../../bench/caller.js";
+import { sendHttpCall } from "../../src/utils/http.js";
+import { buildList } from "../../src/utils/list.js";
+import { waitFor } from "../../src/utils/time.js";
+import { computeAnswer } from "../../standins/engine/tokens.js";
+import { startSmallSystem } from "../fixtures.js";
+
+const PARENT = "key-of-parents";
+const COURIER = { key: "key-of-couriers", method: "POST", path: "swapdesk-app/orders" };
+
+t.test("a stream that its engine cuts goes on at another replica, without a lost or doubled token", async t => {
+    const system = await startSmallSystem({ engines: 2, services: 0 });
+    system.engines.forEach(engine => (engine.faults.truncateAfter = 5));
+    const sending = sendChat({ url: system.urls[0] ?? "", key: PARENT, text: "long", tokens: 12, isStream: true });
+    const answer = await sending.catch(() => undefined);
+    t.equal(answer, undefined, "with every replica cutting, the stream ends visibly broken");
+    const [first] = system.engines;
+    system.engines.forEach(engine => (engine.faults.truncateAfter = 0));
+    if (first !== undefined) {
+        first.faults.truncateAfter = 5;
+    }
+    const answers = await Promise.all(
+        buildList(6, index =>
+            sendChat({ url: system.urls[0] ?? "", key: PARENT, text: `p${index}`, tokens: 12, isStream: true }),
+        ),
+    );
+    answers.forEach((whole, index) => {
+        t.equal(readStreamText(whole.body), computeAnswer(`user:p${index}`, 12));
+        const ids = new Set(whole.body.toString("utf8").match(/"id":"[^"]*"/g));
+        t.equal(ids.size, 1, "one identifier in the whole stream");
+    });
+    t.ok((first?.runs.length ?? 0) > 0, "the faulty replica was used");
+    await system.stop();
+});
+
+t.test("crossed and doubled answers reach nobody as whole", async t => {
+    const system = await startSmallSystem({ engines: 1, services: 0 });
+    const [engine] = system.engines;
+    const url = system.urls[0] ?? "";
+    for (const fault of ["isCrossed", "isDoubled"] as const) {
+        if (engine !== undefined) {
+            engine.faults[fault] = true;
+        }
+        const answers = await Promise.all(
+            buildList(4, index =>
+                sendChat({ url, key: PARENT, text: `${fault}${index}`, tokens: 20, isStream: true }).catch(
+                    () => undefined,
+                ),
+            ),
+        );
+        answers.forEach((answer, index) => {
+            const isWhole = answer?.status === 200 && answer.body.toString("utf8").endsWith("data: [DONE]\n\n");
+            const isRight = isWhole && readStreamText(answer.body) === computeAnswer(`user:${fault}${index}`, 20);
+            t.ok(!isWhole || isRight, `${fault} ${index}`);
+        });
+        if (engine !== undefined) {
+            engine.faults[fault] = false;
+        }
+    }
+    await system.stop();
+});
+
+t.test("two copies of a booking at two hosts at the same moment run once, and get the same answer", async t => {
+    const system = await startSmallSystem({ engines: 0, services: 2, routers: 2 });
+    system.services.forEach(service => (service.faults.delayMs = 60));
+    for (let round = 0; round < 5; round++) {
+        const idempotencyKey = `twice-${round}`;
+        const answers = await Promise.all(
+            system.urls.map(url => sendServiceCall({ ...COURIER, url, idempotencyKey, body: "{}" })),
+        );
+        t.strictSame(
+            answers.map(answer => answer.status),
+            [201, 201],
+        );
+        t.equal(answers[0]?.body.toString("utf8"), answers[1]?.body.toString("utf8"));
+        const runs = system.services
+            .flatMap(service => service.runs)
+            .filter(run => run.idempotencyKey === idempotencyKey);
+        t.equal(runs.length, 1);
+    }
+    await system.stop();
+});
+
+t.test("a lost answer of the service is unknown, and the same key does not run again", async t => {
+    const system = await startSmallSystem({ engines: 0, services: 1 });
+    const [service] = system.services;
+    if (service !== undefined) {
+        service.faults.lostAnswers = 1;
+    }
+    const call = { ...COURIER, url: system.urls[0] ?? "", idempotencyKey: "lost", body: "{}" };
+    const first = await sendServiceCall(call);
+    const again = await sendServiceCall(call);
+    t.strictSame([first.status, first.headers["auburnpass-outcome"]], [503, "unknown"]);
+    t.strictSame([again.status, again.headers["auburnpass-outcome"]], [503, "unknown"]);
+    t.equal(service?.runs.length, 1);
+    await system.stop();
+});
+
+t.test("with the platform down idempotent work goes on, and a booking is refused at once", async t => {
+    const system = await startSmallSystem({ engines: 1, services: 1 });
+    system.platform.faults.isDown = true;
+    const url = system.urls[0] ?? "";
+    const answer = await sendChat({ url, key: PARENT, text: "still here" });
+    t.equal(answer.status, 200);
+    const booking = await sendServiceCall({ ...COURIER, url, idempotencyKey: "down", body: "{}" });
+    t.equal(booking.status, 503);
+    t.ok(Number(booking.headers["retry-after"]) > 0, "it says when to come back");
+    t.not(booking.headers["auburnpass-outcome"], "ran");
+    t.equal(system.services[0]?.runs.length, 0);
+    system.platform.faults.isDown = false;
+    const later = await sendServiceCall({ ...COURIER, url, idempotencyKey: "later", body: "{}" });
+    t.equal(later.status, 201);
+    await system.stop();
+});
+
+t.test("an agent that stops in order gets no new work, cuts nothing, and leaves its answers", async t => {
+    const system = await startSmallSystem({ engines: 2, services: 1, engine: { stepMs: 10 } });
+    const url = system.urls[0] ?? "";
+    const booking = { ...COURIER, url, idempotencyKey: "kept", body: "{}" };
+    const first = await sendServiceCall(booking);
+    const streams = buildList(4, index =>
+        sendChat({ url, key: PARENT, text: `drain${index}`, tokens: 60, isStream: true }),
+    );
+    await waitFor(100);
+    const stopping = system.agents.map(agent => agent.stop());
+    const answers = await Promise.all(streams);
+    answers.forEach((answer, index) => t.equal(readStreamText(answer.body), computeAnswer(`user:drain${index}`, 60)));
+    await Promise.all(stopping);
+    const again = await sendServiceCall(booking);
+    t.equal(again.body.toString("utf8"), first.body.toString("utf8"), "the answer outlives its agent");
+    const refused = await sendChat({ url, key: PARENT, text: "too late" });
+    t.equal(refused.headers["auburnpass-outcome"], "not-run");
+    await system.stop();
+});
+
+t.test("malformed input gets a clear refusal, and nothing is run", async t => {
+    const system = await startSmallSystem({ engines: 1, services: 1, bodyMs: 300 });
+    const url = system.urls[0] ?? "";
+    const headers = { authorization: `Bearer ${PARENT}` };
+    const chat = `${url}/v1/chat/completions`;
+    const cases = [
+        { method: "POST", url: chat, headers: {}, body: "{}" },
+        { method: "POST", url: chat, headers, body: "not json" },
+        { method: "POST", url: chat, headers, body: '{"model":"nobody"}' },
+        { method: "POST", url: chat, headers, body: '{"model":7}' },
+        { method: "POST", url: chat, headers, body: "x".repeat(70_000) },
+        { method: "GET", url: chat, headers, body: undefined },
+        { method: "POST", url: `${url}/services/swapdesk-app/orders`, headers, body: "{}" },
+        { method: "DELETE", url: `${url}/services/swapdesk-app/orders`, headers, body: undefined },
+        { method: "POST", url: chat, headers: { ...headers, "content-length": "50" }, body: "{" },
+    ];
+    const answers = [];
+    for (const call of cases) {
+        const answer = await sendHttpCall({ ...call, timeoutMs: 3_000 });
+        const problem = JSON.parse(answer.body.toString("utf8")) as Record<string, unknown>;
+        answers.push({ status: answer.status, outcome: problem.outcome, cause: problem.cause, detail: problem.detail });
+    }
+    t.matchSnapshot(answers);
+    t.equal(system.engines[0]?.runs.length, 0);
+    await system.stop();
+});
--- /dev/null
+++ b/tests/router/faultsTests.ts
@@ -0,0 +1,68 @@
+import t from "tap";
+import { readStreamText, sendChat, sendServiceCall } from "../../bench/caller.js";
+import { buildList } from "../../src/utils/list.js";
+import { waitFor } from "../../src/utils/time.js";
+import { computeAnswer } from "../../standins/engine/tokens.js";
+import { startSmallSystem } from "../fixtures.js";
+
+t.test("a request that crashes its endpoints costs two of them at most, and its companions are served", async t => {
+    const crashed: number[] = [];
+    const system = await startSmallSystem({
+        engines: 4,
+        services: 0,
+        routers: 2,
+        engine: { stepMs: 5 },
+    });
+    system.engines.forEach((engine, place) => {
+        engine.faults.crashText = "poison";
+        engine.faults.onCrash = () => {
+            crashed.push(place);
+            void engine.close();
+        };
+    });
+    const companions = buildList(8, index =>
+        sendChat({
+            url: system.urls[index % 2] ?? "",
+            key: "key-of-parents",
+            text: `good${index}`,
+            tokens: 60,
+            isStream: true,
+        }),
+    );
+    await waitFor(100);
+    const statuses: (number | undefined)[] = [];
+    for (let attempt = 0; attempt < 6; attempt++) {
+        const url = system.urls[attempt % 2] ?? "";
+        const answer = await sendChat({ url, key: "key-of-shops", text: "poison" }).catch(() => undefined);
+        statuses.push(answer?.status);
+    }
+    t.ok(crashed.length <= 2, `${crashed.length} endpoints lost`);
+    t.strictSame(statuses.slice(1), [422, 422, 422, 422, 422], "every later copy is refused at every host");
+    const answers = await Promise.all(companions);
+    answers.forEach((answer, index) => t.equal(readStreamText(answer.body), computeAnswer(`user:good${index}`, 60)));
+    await system.stop();
+});
+
+t.test("a connection that goes silent is found by progress, and the attempt is followed, not repeated", async t => {
+    const system = await startSmallSystem({ engines: 1, services: 1, hasLinks: true, engine: { stepMs: 10 } });
+    const url = system.urls[0] ?? "";
+    const [engineLink, serviceLink] = system.links;
+    const streaming = sendChat({ url, key: "key-of-parents", text: "silent", tokens: 100, isStream: true });
+    await waitFor(300);
+    engineLink?.silenceOpen();
+    const stream = await streaming;
+    t.equal(readStreamText(stream.body), computeAnswer("user:silent", 100));
+    t.equal(system.engines[0]?.runs.length, 1, "one run, followed over a new connection");
+    const [service] = system.services;
+    if (service !== undefined) {
+        service.faults.delayMs = 300;
+    }
+    const booking = { key: "key-of-couriers", method: "POST", path: "swapdesk-app/orders", idempotencyKey: "silent" };
+    const sending = sendServiceCall({ ...booking, url, body: "{}" });
+    await waitFor(100);
+    serviceLink?.silenceOpen();
+    const answer = await sending;
+    t.equal(answer.status, 201);
+    t.equal(service?.runs.length, 1);
+    await system.stop();
+});
