--- a/bench/runBench.ts
+++ b/bench/runBench.ts
@@ -2,6 +2,9 @@
 import { consola } from "consola";
 import meow from "meow";
 import { type Bench, formatHtml, formatReport, isMet } from "./Report.js";
+import { runClaims } from "./claims/claimsBench.js";
+import { runControl, runSpread } from "./control/controlBench.js";
+import { runRelay } from "./relay/relayBench.js";
 import { runRebalance } from "./groups/rebalanceBench.js";
 import { runFairness, runFlood, runSlowEndpoint, runStorm } from "./scheduling/benches.js";
 
@@ -11,6 +14,10 @@
     storm: runStorm,
     "slow-endpoint": runSlowEndpoint,
     rebalance: runRebalance,
+    relay: runRelay,
+    claims: runClaims,
+    control: runControl,
+    spread: runSpread,
 };
 
 const cli = meow(
--- a/src/agent/KeptAnswer.ts
+++ b/src/agent/KeptAnswer.ts
@@ -1,3 +1,5 @@
+import { type ByteLog, createByteLog } from "../utils/ByteLog.js";
+
 /** How far an answer has come. */
 export enum AnswerEnd {
     Open = "open",
@@ -43,7 +45,7 @@
 /** Creates an empty answer. */
 export function createKeptAnswer(): KeptAnswer {
     const readers = new Set<AnswerReader>();
-    let chunks: Buffer[] | undefined = [];
+    let bytes: ByteLog | undefined = createByteLog();
     let head: AnswerHead | undefined;
     let length = 0;
     let end = AnswerEnd.Open;
@@ -54,14 +56,14 @@
         finish,
         addReader,
         dropChunks() {
-            chunks = undefined;
+            bytes = undefined;
         },
         countReaders: () => readers.size,
         getHead: () => head,
         getLength: () => length,
         getEnd: () => end,
-        hasChunks: () => chunks !== undefined,
-        getBody: () => Buffer.concat(chunks ?? []),
+        hasChunks: () => bytes !== undefined,
+        getBody: () => bytes?.readFrom(0) ?? Buffer.alloc(0),
     };
 
     function setHead(next: AnswerHead): void {
@@ -70,7 +72,7 @@
     }
 
     function addChunk(chunk: Buffer): void {
-        chunks?.push(chunk);
+        bytes?.append(chunk);
         length += chunk.length;
         readers.forEach(reader => reader.onChunk(chunk));
     }
@@ -88,11 +90,13 @@
         if (head !== undefined) {
             reader.onHead(head);
         }
-        if (chunks === undefined) {
+        if (bytes === undefined) {
             reader.onEnd(AnswerEnd.Broken, length);
             return () => undefined;
         }
-        sendFrom(reader, offset);
+        if (offset < bytes.getLength()) {
+            reader.onChunk(bytes.readFrom(offset));
+        }
         if (end !== AnswerEnd.Open) {
             reader.onEnd(end, length);
             return () => undefined;
@@ -100,15 +104,4 @@
         readers.add(reader);
         return () => readers.delete(reader);
     }
-
-    function sendFrom(reader: AnswerReader, offset: number): void {
-        let position = 0;
-        for (const chunk of chunks ?? []) {
-            const start = Math.max(0, offset - position);
-            if (start < chunk.length) {
-                reader.onChunk(start === 0 ? chunk : chunk.subarray(start));
-            }
-            position += chunk.length;
-        }
-    }
 }
--- a/src/config/checkYaml.ts
+++ b/src/config/checkYaml.ts
@@ -92,7 +92,7 @@
     if (issue.code === "unrecognized_keys") {
         return `only known keys (not ${issue.keys.join(", ")})`;
     }
-    return issue.message.replace(/^Invalid input: expected /, "").replace(/, received .*$/, "");
+    return issue.message.replace(/^Invalid (input|option): expected /, "").replace(/, received .*$/, "");
 }
 
 function describeFound(value: unknown): string {
--- a/src/router/attempts/StreamSink.ts
+++ b/src/router/attempts/StreamSink.ts
@@ -1,5 +1,6 @@
 import type { AnswerHead } from "../../agent/KeptAnswer.js";
 import { type Refusal, buildProblem } from "../../protocol/index.js";
+import { createByteLog } from "../../utils/ByteLog.js";
 import { AnswerSink } from "./AnswerSink.js";
 import { type StreamProgress, readProgress, replaceIdentifiers } from "./resumption.js";
 import type { SinkOptions } from "./WholeSink.js";
@@ -22,11 +23,9 @@
  */
 export function createStreamSink(options: SinkOptions): StreamSink {
     const { response } = options;
-    const kept: Buffer[] = [];
-    let keptBytes = 0;
+    const kept = createByteLog();
     let partial: Buffer | undefined;
     let isStarted = false;
-    let isCorked = false;
     let received = 0;
     let prefix = "";
 
@@ -47,7 +46,7 @@
             }
             const passed = prefix === "" ? events : replaceIdentifiers(events, prefix);
             keepEvents(passed);
-            return writeJoined(passed);
+            return response.write(passed);
         }
 
         override finish(): void {
@@ -70,7 +69,7 @@
         startResumption(): StreamProgress {
             partial = undefined;
             received = 0;
-            const progress = readProgress(Buffer.concat(kept));
+            const progress = readProgress(kept.readFrom(0));
             prefix = progress.prefix;
             return progress;
         }
@@ -94,24 +93,8 @@
     }
 
     function keepEvents(events: Buffer): void {
-        keptBytes += events.length;
-        if (keptBytes <= MAX_KEPT_BYTES) {
-            kept.push(events);
+        if (kept.getLength() + events.length <= MAX_KEPT_BYTES) {
+            kept.append(events);
         }
     }
-
-    /** Joins the events that are ready in one turn of the event loop into one write. */
-    function writeJoined(events: Buffer): boolean {
-        if (!isCorked) {
-            isCorked = true;
-            response.cork();
-            setImmediate(flush);
-        }
-        return response.write(events);
-    }
-
-    function flush(): void {
-        isCorked = false;
-        response.uncork();
-    }
 }
--- a/src/router/claims/GroupClaimStore.ts
+++ b/src/router/claims/GroupClaimStore.ts
@@ -1,6 +1,6 @@
 import { ErrorCode, createError, hasErrorCode } from "../../errors/index.js";
 import { type KeyValueService, createRollingLease } from "../../platform/index.js";
-import { waitFor } from "../../utils/time.js";
+import { readMonotonicMs, waitFor } from "../../utils/time.js";
 import { type Claim, type ClaimAnswer, type ClaimKey, ClaimStore, type HeldClaim } from "./Claim.js";
 import { type ClaimDocument, decodeClaims, encodeClaims, computeShortKey } from "./ClaimDocument.js";
 import { RETENTION_MS, findClaimPlace } from "./claimPlace.js";
@@ -10,10 +10,8 @@
     service: KeyValueService;
     /** Number of entries among which the keys are spread. */
     partitions: number;
-    /** Longest time that a claim waits for others after a conflict, in milliseconds. */
-    lingerMs: number;
-    /** Draws a number from 0 to 1. */
-    random: () => number;
+    /** Least time between two writes of an entry, in milliseconds; claims wait for each other meanwhile. */
+    intervalMs: number;
 }
 
 interface PendingClaim {
@@ -32,7 +30,8 @@
     isFlushing: boolean;
     document: ClaimDocument;
     revision: number | undefined;
-    hasConflict: boolean;
+    /** Monotonic time of the last write, in milliseconds. */
+    writtenAt: number;
     usedAt: number;
 }
 
@@ -77,9 +76,8 @@
     async function flushPlace(place: Place): Promise<void> {
         place.isFlushing = true;
         while (place.pending.length > 0) {
-            if (place.hasConflict) {
-                await waitFor(options.random() * options.lingerMs);
-            }
+            await waitFor(Math.max(0, place.writtenAt + options.intervalMs - readMonotonicMs()));
+            place.writtenAt = readMonotonicMs();
             const batch = place.pending.splice(0);
             await writeBatch(place, batch).catch(error => batch.forEach(pending => pending.reject(error)));
         }
@@ -130,7 +128,6 @@
         const expectedRevision = place.revision ?? 0;
         const leaseId = place.isTimed ? await lease.getLease() : undefined;
         const answer = await service.swapEntry({ key: place.name, expectedRevision, value, leaseId });
-        place.hasConflict = !answer.applied;
         place.revision = answer.current?.revision ?? 0;
         place.document = answer.applied ? next : decodeEntry(answer.current?.value);
         if (answer.applied) {
@@ -157,7 +154,7 @@
             isFlushing: false,
             document: new Map(),
             revision: undefined,
-            hasConflict: false,
+            writtenAt: Number.NEGATIVE_INFINITY,
             usedAt: Date.now(),
         };
         places.set(name, place);
--- a/src/router/startRouter.ts
+++ b/src/router/startRouter.ts
@@ -38,7 +38,7 @@
 import { type SettledExchange, createRouterServer } from "./RouterServer.js";
 import { createAgentDirectory } from "./attempts/AgentDirectory.js";
 import { createSilenceWatch } from "./attempts/SilenceWatch.js";
-import { createGroupClaimStore } from "./claims/GroupClaimStore.js";
+import { createSingleClaimStore } from "./claims/SingleClaimStore.js";
 import { type PeerMessage, buildRouterControl } from "./routerControl.js";
 
 const HOST_LIST_MS = 1_000;
@@ -48,8 +48,6 @@
 const MAX_LOAD_FACTOR = 1.25;
 const ZONE_TOLERANCE = 0.25;
 const STATUS_NOT_FOUND = 404;
-const CLAIM_PARTITIONS = 16;
-const CLAIM_LINGER_MS = 30;
 const DRAIN_POLL_MS = 50;
 
 /**
@@ -89,12 +87,7 @@
             random: Math.random,
         }),
         retries: createRetryBudget({ share: RETRY_SHARE, maxSaved: MAX_SAVED_RETRIES }),
-        claims: createGroupClaimStore({
-            service: keyValue,
-            partitions: CLAIM_PARTITIONS,
-            lingerMs: CLAIM_LINGER_MS,
-            random: Math.random,
-        }),
+        claims: createSingleClaimStore(keyValue),
         handovers: createHandoverStore(keyValue),
         suspects,
         spreadSuspects: () => exchange.sendToAll(),
