--- a/src/agent/HeartbeatSender.ts
+++ b/src/agent/HeartbeatSender.ts
@@ -16,8 +16,9 @@
     logger: Logger;
 }
 
-/** Tells a few routers of the zone, each second, how the agent is. */
+/** Tells the routers of the zone how the agent is: a few listeners, in turn, one each second. */
 export interface HeartbeatSender {
+    /** Tells all listeners at once. */
     sendNow(): Promise<void>;
     stop(): Promise<void>;
 }
@@ -33,15 +34,28 @@
  */
 export function startHeartbeats(options: HeartbeatOptions): HeartbeatSender {
     const clients = new Map<string, ControlClient<RouterControl>>();
-    const loop: Loop = startLoop(TICK_MS, sendNow, error => options.logger.logFailure(EventId.TaskFailed, error));
+    let turn = 0;
+    const loop: Loop = startLoop(TICK_MS, sendTick, error => options.logger.logFailure(EventId.TaskFailed, error));
     return { sendNow, stop };
 
+    function sendNow(): Promise<void> {
+        return sendToListeners(LISTENERS);
+    }
+
+    function sendTick(): Promise<void> {
+        turn++;
+        return turn === 1 ? sendNow() : sendToListeners(1);
+    }
+
     /** Routers that fail are passed over in favour of the next ones, at last of other zones. */
-    async function sendNow(): Promise<void> {
+    async function sendToListeners(count: number): Promise<void> {
         const candidates = options.peers.choosePeers(options.host, options.zone, CANDIDATES);
-        const first = await Promise.all(candidates.slice(0, LISTENERS).map(sendTo));
-        let missing = first.filter(isHeard => !isHeard).length;
-        for (const candidate of candidates.slice(LISTENERS)) {
+        const listeners = candidates.slice(0, LISTENERS);
+        const first = turn % Math.max(1, listeners.length);
+        const ordered = [...listeners.slice(first), ...listeners.slice(0, first), ...candidates.slice(LISTENERS)];
+        const heard = await Promise.all(ordered.slice(0, count).map(sendTo));
+        let missing = heard.filter(isHeard => !isHeard).length;
+        for (const candidate of ordered.slice(count)) {
             if (missing === 0) {
                 return;
             }
--- a/src/bin/auburnpass.ts
+++ b/src/bin/auburnpass.ts
@@ -35,7 +35,7 @@
         pkg: { name: "auburnpass", version: readVersion() },
         allowUnknownFlags: false,
         flags: {
-            router: { type: "string", default: process.env.AUBURNPASS_ROUTER },
+            router: { type: "string", default: process.env.AUBURNPASS_ROUTER ?? "" },
             key: { type: "string", default: process.env.AUBURNPASS_KEY ?? "" },
             environment: { type: "string", default: "trial", choices: ["trial", "production"] },
             base: { type: "number" },
@@ -67,7 +67,7 @@
 }
 
 function getClient(): ReturnType<typeof createAdminClient> {
-    if (cli.flags.router === undefined) {
+    if (cli.flags.router === "") {
         throw new Error("expected --router URL or AUBURNPASS_ROUTER");
     }
     return createAdminClient(cli.flags.router, cli.flags.key);
--- a/src/membership/PeerExchange.ts
+++ b/src/membership/PeerExchange.ts
@@ -16,6 +16,8 @@
     getDocumentVersion: () => number;
     listSuspects: () => PeerMessage["suspects"];
     onDocument: (stored: StoredDocument, from: string) => void;
+    /** Called at each tick for a zone none of whose routers answers. */
+    onZoneSilent: (zone: string) => void;
     logger: Logger;
 }
 
@@ -66,6 +68,19 @@
 
     async function sendNow(): Promise<void> {
         await Promise.all(chooseTargets().map(sendTo));
+        findSilentZones().forEach(options.onZoneSilent);
+    }
+
+    /** Zones all of whose routers failed at their last call. */
+    function findSilentZones(): string[] {
+        const now = readMonotonicMs();
+        const peers = options.peers.listPeers().filter(peer => peer.zone !== options.zone);
+        const heard = new Set(peers.filter(peer => !hasFailed(peer, now)).map(peer => peer.zone));
+        return [...new Set(peers.map(peer => peer.zone))].filter(zone => !heard.has(zone));
+    }
+
+    function hasFailed(peer: Peer, now: number): boolean {
+        return (links.get(peer.host)?.failedUntil ?? 0) > now;
     }
 
     async function sendToAll(): Promise<void> {
@@ -85,8 +100,7 @@
     function chooseOfZone(zone: string, peers: readonly Peer[]): Peer[] {
         const now = readMonotonicMs();
         const ordered = options.peers.choosePeers(options.host, zone, peers.length).filter(peer => peer.zone === zone);
-        const hasFailed = (peer: Peer): boolean => (links.get(peer.host)?.failedUntil ?? 0) > now;
-        const healthy = ordered.filter(peer => !hasFailed(peer));
+        const healthy = ordered.filter(peer => !hasFailed(peer, now));
         return (healthy.length > 0 ? healthy : ordered).slice(0, PEERS_PER_OTHER_ZONE);
     }
 
--- a/src/router/startRouter.ts
+++ b/src/router/startRouter.ts
@@ -105,6 +105,7 @@
         getDocumentVersion: holder.getVersion,
         listSuspects: () => suspects.listSuspects(readMonotonicMs()),
         onDocument: (stored, from) => sync.takeDocument(stored, from),
+        onZoneSilent: zone => account.recordIncident(IncidentKind.ZoneCut, zone),
         logger,
     });
     holder.onApplied(stored => {
--- a/tests/fixtures.ts
+++ b/tests/fixtures.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from "node:fs";
+import { createAdminClient } from "../src/cli/AdminClient.js";
 import { EndpointKind, createDocumentRepository } from "../src/config/index.js";
 import type { AgentSettings, RouterSettings } from "../src/config/index.js";
 import { startAgent } from "../src/agent/startAgent.js";
@@ -130,6 +131,12 @@
     }
 
     async function waitUntilReady(): Promise<void> {
+        for (const url of controlUrls) {
+            const client = createAdminClient(url, OPERATOR_KEY);
+            while ((await client.getStatus()).endpoints.length < engines.length + services.length) {
+                await waitFor(POLL_MS);
+            }
+        }
         for (const url of urls) {
             for (const path of probePaths()) {
                 while ((await sendProbe(url, path)) !== 200) {
