--- a/src/agent/GroupMember.ts
+++ b/src/agent/GroupMember.ts
@@ -37,9 +37,10 @@
     logger: Logger;
 }
 
-const ROUND_MS = 200;
+const ROUND_MS = 1_000;
 const CALL_TIMEOUT_MS = 500;
-const LEAD_STEPS = 100;
+/** At 31 ms a step, a permit lasts six rounds. */
+const LEAD_STEPS = 200;
 const SMOOTHING = 0.7;
 const TOLERANCE = 1.02;
 const PRICE_PER_FETCH = 0.0004;
--- a/src/router/attempts/AttemptRunner.ts
+++ b/src/router/attempts/AttemptRunner.ts
@@ -1,4 +1,4 @@
-import { SpanKind, context as spanContext, trace } from "@opentelemetry/api";
+import { ROOT_CONTEXT, SpanKind, trace } from "@opentelemetry/api";
 import { match } from "ts-pattern";
 import { AnswerEnd } from "../../agent/KeptAnswer.js";
 import type { Handover } from "../../agent/Handover.js";
@@ -71,7 +71,7 @@
     return { runAttempt, followAttempt };
 
     async function runAttempt(plan: AttemptPlan, body: Buffer, options: AttemptOptions): Promise<AttemptResult> {
-        const parent = trace.setSpan(spanContext.active(), exchange.span);
+        const parent = trace.setSpan(ROOT_CONTEXT, exchange.span);
         const facts = { attempt: plan.id, endpoint: plan.agent.host };
         const span = context.tracing.startSpan("router.attempt", SpanKind.CLIENT, parent, facts);
         const traceHeaders: Record<string, string> = {};
--- a/src/telemetry/tracing.ts
+++ b/src/telemetry/tracing.ts
@@ -1,13 +1,15 @@
 import {
     type Context,
+    ROOT_CONTEXT,
     type Span,
     SpanKind,
     SpanStatusCode,
     type Tracer,
-    context,
-    propagation,
+    defaultTextMapGetter,
+    defaultTextMapSetter,
     trace,
 } from "@opentelemetry/api";
+import { W3CTraceContextPropagator } from "@opentelemetry/core";
 import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
 import { resourceFromAttributes } from "@opentelemetry/resources";
 import { BatchSpanProcessor, NodeTracerProvider } from "@opentelemetry/sdk-trace-node";
@@ -43,12 +45,13 @@
 const EXPORT_TIMEOUT_MS = 2_000;
 
 /**
- * Creates the traces of a process.
+ * Creates the traces of a process. Contexts are passed by hand: a global context manager
+ * would add its hooks to each asynchronous step of every stream.
  * @param options - Identity of the process and address of the collector.
  */
 export function createTracing(options: TracingOptions): Tracing {
     const provider = createProvider(options);
-    provider.register();
+    const propagator = new W3CTraceContextPropagator();
     const tracer: Tracer = provider.getTracer("auburnpass");
     return { startSpan, readContext, writeContext, stop };
 
@@ -62,11 +65,11 @@
     }
 
     function readContext(headers: Record<string, unknown>): Context {
-        return propagation.extract(context.active(), headers);
+        return propagator.extract(ROOT_CONTEXT, headers, defaultTextMapGetter);
     }
 
     function writeContext(span: Span, headers: Record<string, string>): void {
-        propagation.inject(trace.setSpan(context.active(), span), headers);
+        propagator.inject(trace.setSpan(ROOT_CONTEXT, span), headers, defaultTextMapSetter);
     }
 
     async function stop(): Promise<void> {
