--- a/bench/groups/PermitModel.ts
+++ b/bench/groups/PermitModel.ts
@@ -13,7 +13,6 @@
 } from "../../src/groups/Coordination.js";
 import {
     type MapSwitch,
-    type PermitGrant,
     type RankPermit,
     applyGrant,
     createRankPermit,
@@ -21,6 +20,15 @@
     getMapVersion,
 } from "../../src/groups/RankPermit.js";
 
+import {
+    type ModelCoordinator,
+    type ModelMessage,
+    type ModelRank,
+    type ModelState,
+    encodeMessage,
+    encodeState,
+} from "./ModelState.js";
+
 /** Errors that can be planted, to show that the check finds them. */
 export enum PlantedError {
     None = "none",
@@ -55,40 +63,6 @@
     violation: string[] | undefined;
 }
 
-interface ModelRank {
-    permit: RankPermit;
-    life: number;
-    nextStep: number;
-}
-
-interface ModelCoordinator {
-    state: Coordination | undefined;
-    /** Revision of the kept schedule that this coordinator has written. */
-    keptRevision: number;
-    lives: number[];
-    hasChanged: boolean;
-}
-
-interface ModelMessage {
-    coordinator: number;
-    rank: number;
-    life: number;
-    fence?: number;
-    grant?: PermitGrant;
-    stage?: number;
-}
-
-interface ModelState {
-    ranks: ModelRank[];
-    coordinators: ModelCoordinator[];
-    messages: ModelMessage[];
-    kept: { epoch: number; revision: number; schedule: readonly MapSwitch[] };
-    crashes: number;
-    /** Map of each step that any rank has run. */
-    runs: Record<number, number>;
-    hasTwoMaps: boolean;
-}
-
 interface Transition {
     name: string;
     next: ModelState;
@@ -153,39 +127,6 @@
     };
 }
 
-function encodeState(state: ModelState): string {
-    const messages = state.messages.map(encodeMessage).sort().join();
-    const ranks = state.ranks.map(rank => `${encodePermit(rank.permit)}:${rank.life}:${rank.nextStep}`).join();
-    const coordinators = state.coordinators.map(encodeCoordinator).join();
-    const kept = `${state.kept.epoch}:${state.kept.revision}:${encodeSchedule(state.kept.schedule)}`;
-    return `${ranks}|${coordinators}|${messages}|${kept}|${state.crashes}|${Object.values(state.runs).join()}`;
-}
-
-function encodePermit(permit: RankPermit): string {
-    return `${permit.epoch}.${permit.upToStep}.${encodeSchedule(permit.schedule)}`;
-}
-
-function encodeSchedule(schedule: readonly MapSwitch[]): string {
-    return schedule.map(entry => `${entry.afterStep}>${entry.version}`).join("+");
-}
-
-function encodeMessage(message: ModelMessage): string {
-    const { grant } = message;
-    const content = grant === undefined ? "" : `${grant.epoch}.${grant.upToStep}.${encodeSchedule(grant.schedule)}`;
-    return `${message.coordinator}:${message.rank}:${message.life}:${message.fence}:${message.stage}:${content}`;
-}
-
-function encodeCoordinator(coordinator: ModelCoordinator): string {
-    const { state } = coordinator;
-    if (state === undefined) {
-        return "-";
-    }
-    const fenced = state.fenced.map(report => (report === undefined ? "-" : encodePermit(report.permit))).join("/");
-    const staging = `${state.stagedVersion}:${[...state.stagedRanks].sort().join("/")}`;
-    const own = `${state.phase}:${state.epoch}:${state.grantedStep}:${encodeSchedule(state.schedule)}`;
-    return `${own}:${fenced}:${staging}:${coordinator.keptRevision}:${coordinator.lives.join("/")}:${coordinator.hasChanged}`;
-}
-
 function listTransitions(state: ModelState, options: PermitModelOptions): Transition[] {
     const transitions: Transition[] = [];
     state.coordinators.forEach((coordinator, place) => {
--- a/src/router/attempts/AttemptChannel.ts
+++ b/src/router/attempts/AttemptChannel.ts
@@ -182,7 +182,8 @@
     let sink: ChannelSink | undefined;
     let isEnded = false;
     let isPaused = false;
-    const stopWatch = options.watch.addStream(() => (isPaused ? readMonotonicMs() : lastByteAt), probe);
+    let hasNewBytes = false;
+    const stopWatch = options.watch.addStream(getLastByteAt, probe);
     response.pause();
     response.on("error", () => end(ChannelEnd.Cut));
     response.on("close", () => end(isWhole() ? ChannelEnd.Whole : ChannelEnd.Cut));
@@ -203,11 +204,20 @@
         },
     };
 
+    /** The clock is read by the watch, not for each event. */
+    function getLastByteAt(): number {
+        if (hasNewBytes || isPaused) {
+            hasNewBytes = false;
+            lastByteAt = readMonotonicMs();
+        }
+        return lastByteAt;
+    }
+
     function readInto(next: ChannelSink): void {
         sink = next;
         response.on("data", (chunk: Buffer) => {
             received += chunk.length;
-            lastByteAt = readMonotonicMs();
+            hasNewBytes = true;
             if (!next.onChunk(chunk)) {
                 isPaused = true;
                 response.pause();
--- a/src/router/attempts/StreamSink.ts
+++ b/src/router/attempts/StreamSink.ts
@@ -15,6 +15,7 @@
 }
 
 const EVENT_END = Buffer.from("\n\n");
+const LINE_FEED = 10;
 const MAX_KEPT_BYTES = 4 * 1024 * 1024;
 
 /**
@@ -81,6 +82,9 @@
     })();
 
     function takeWholeEvents(chunk: Buffer): Buffer | undefined {
+        if (partial === undefined && isEventEnd(chunk)) {
+            return chunk;
+        }
         const bytes = partial === undefined ? chunk : Buffer.concat([partial, chunk]);
         const last = bytes.lastIndexOf(EVENT_END);
         if (last === -1) {
@@ -98,3 +102,7 @@
         }
     }
 }
+
+function isEventEnd(chunk: Buffer): boolean {
+    return chunk.length > 1 && chunk[chunk.length - 1] === LINE_FEED && chunk[chunk.length - 2] === LINE_FEED;
+}
