--- a/tests/admin/documentsTests.ts
+++ b/tests/admin/documentsTests.ts
@@ -37,7 +37,7 @@
 });
 
 t.test("of two operators at the same moment one is accepted, and the other told what differs", async t => {
-    const system = await startSmallSystem({ engines: 0, services: 0, routers: 2 });
+    const system = await startSmallSystem(t, { engines: 0, services: 0, routers: 2 });
     const clients = system.controlUrls.map(url => createAdminClient(url, OPERATOR_KEY));
     const texts = [9, 8].map(weight => readExampleDocument().replace("weight: 4", `weight: ${weight}`));
     const reports = await Promise.all(
@@ -51,22 +51,20 @@
     const versions = await Promise.all(clients.map(client => client.getStatus().then(status => status.version)));
     t.strictSame(versions, [2, 2]);
     await t.rejects(createAdminClient(system.controlUrls[0] ?? "", "wrong").getStatus(), /401/);
-    await system.stop();
 });
 
 t.test("a lost answer of the platform never leads to a wrong report", async t => {
-    const system = await startSmallSystem({ engines: 0, services: 0 });
+    const system = await startSmallSystem(t, { engines: 0, services: 0 });
     const client = createAdminClient(system.controlUrls[0] ?? "", OPERATOR_KEY);
     system.platform.faults.lostAnswers = 1;
     const report = await client.applyDocument("production", 1, readExampleDocument().replace("weight: 4", "weight: 5"));
     t.strictSame([report.status, report.version], [ChangeStatus.Accepted, 2]);
     const stale = await client.applyDocument("production", 1, readExampleDocument());
     t.equal(stale.status, ChangeStatus.Conflict);
-    await system.stop();
 });
 
 t.test("an older value of the platform is not taken, and promotion copies the trial that was seen", async t => {
-    const system = await startSmallSystem({ engines: 0, services: 0 });
+    const system = await startSmallSystem(t, { engines: 0, services: 0 });
     const client = createAdminClient(system.controlUrls[0] ?? "", OPERATOR_KEY);
     const trial = readExampleDocument().replace("environment: production", "environment: trial");
     const applied = await client.applyDocument("trial", 0, trial.replace("weight: 4", "weight: 6"));
@@ -83,7 +81,6 @@
         timeoutMs: 1_000,
     });
     t.equal(metrics.status, 401, "the API is closed to everyone else");
-    await system.stop();
 });
 
 t.test("two writers of one version: exactly one is written", async t => {
--- a/tests/cli/commandsTests.ts
+++ b/tests/cli/commandsTests.ts
@@ -31,7 +31,7 @@
 });
 
 t.test("an operator applies, sees the status, and asks for causes", async t => {
-    const system = await startSmallSystem({ engines: 1, services: 0 });
+    const system = await startSmallSystem(t, { engines: 1, services: 0 });
     const options = ["--router", system.controlUrls[0] ?? "", "--key", OPERATOR_KEY];
     const status = await runProgram("auburnpass", ["status", ...options]);
     t.match(status.text, /production version 1[\s\S]*engine engine-1 \(assist-lm, zone-1\): live/);
@@ -44,7 +44,6 @@
     t.equal(unseen.code, 2, "a change without the version that was seen is refused");
     const explained = await runProgram("auburnpass", ["explain", "--json", ...options]);
     t.match(JSON.parse(explained.text), { isPartial: false });
-    await system.stop();
 });
 
 function runProgram(name: string, args: string[]): Promise<ProgramResult> {
--- a/tests/fixtures.ts
+++ b/tests/fixtures.ts
@@ -27,7 +27,6 @@
     /** Addresses for callers, one a router. */
     urls: string[];
     controlUrls: string[];
-    stop(): Promise<void>;
 }
 
 /** Sizes of a small system. */
@@ -54,11 +53,17 @@
     return readFileSync("examples/swapdesk.yaml", "utf8").replace("environment: trial", "environment: production");
 }
 
+/** Test whose end also ends what it has started. */
+export interface OwningTest {
+    teardown(run: () => Promise<void>): void;
+}
+
 /**
- * Starts a small system, and waits until its routers know the endpoints.
+ * Starts a small system, and waits until its routers know the endpoints. It ends with its test, also after a failure.
+ * @param test - Test that owns the system.
  * @param options - Sizes.
  */
-export async function startSmallSystem(options: SmallSystemOptions = {}): Promise<SmallSystem> {
+export async function startSmallSystem(test: OwningTest, options: SmallSystemOptions = {}): Promise<SmallSystem> {
     const platform = await startPlatformStandin({ hostListLagMs: 0 });
     const repository = createDocumentRepository(createHttpKeyValueService({ url: platform.url }));
     await repository.writeDocument("production", 0, options.documentText ?? readExampleDocument(), "tests", "w-1");
@@ -90,8 +95,9 @@
     }
     const urls = buildList(routerCount, place => `http://${ADDRESS}:${ports[place * 2]}`);
     const controlUrls = seeds.map(seed => `http://${ADDRESS}:${seed.port}`);
+    test.teardown(stop);
     await waitUntilReady();
-    return { platform, engines, services, agents, links, routers, urls, controlUrls, stop };
+    return { platform, engines, services, agents, links, routers, urls, controlUrls };
 
     function createRouterSettings(host: string, callers: number, control: number): RouterSettings {
         return {
--- a/tests/router/answersTests.ts
+++ b/tests/router/answersTests.ts
@@ -10,7 +10,7 @@
 const COURIER = { key: "key-of-couriers", method: "POST", path: "swapdesk-app/orders" };
 
 t.test("a stream that its engine cuts goes on at another replica, without a lost or doubled token", async t => {
-    const system = await startSmallSystem({ engines: 2, services: 0 });
+    const system = await startSmallSystem(t, { engines: 2, services: 0 });
     system.engines.forEach(engine => (engine.faults.truncateAfter = 5));
     const sending = sendChat({ url: system.urls[0] ?? "", key: PARENT, text: "long", tokens: 12, isStream: true });
     const answer = await sending.catch(() => undefined);
@@ -31,11 +31,10 @@
         t.equal(ids.size, 1, "one identifier in the whole stream");
     });
     t.ok((first?.runs.length ?? 0) > 0, "the faulty replica was used");
-    await system.stop();
 });
 
 t.test("crossed and doubled answers reach nobody as whole", async t => {
-    const system = await startSmallSystem({ engines: 1, services: 0 });
+    const system = await startSmallSystem(t, { engines: 1, services: 0 });
     const [engine] = system.engines;
     const url = system.urls[0] ?? "";
     for (const fault of ["isCrossed", "isDoubled"] as const) {
@@ -58,11 +57,10 @@
             engine.faults[fault] = false;
         }
     }
-    await system.stop();
 });
 
 t.test("two copies of a booking at two hosts at the same moment run once, and get the same answer", async t => {
-    const system = await startSmallSystem({ engines: 0, services: 2, routers: 2 });
+    const system = await startSmallSystem(t, { engines: 0, services: 2, routers: 2 });
     system.services.forEach(service => (service.faults.delayMs = 60));
     for (let round = 0; round < 5; round++) {
         const idempotencyKey = `twice-${round}`;
@@ -79,11 +77,10 @@
             .filter(run => run.idempotencyKey === idempotencyKey);
         t.equal(runs.length, 1);
     }
-    await system.stop();
 });
 
 t.test("a lost answer of the service is unknown, and the same key does not run again", async t => {
-    const system = await startSmallSystem({ engines: 0, services: 1 });
+    const system = await startSmallSystem(t, { engines: 0, services: 1 });
     const [service] = system.services;
     if (service !== undefined) {
         service.faults.lostAnswers = 1;
@@ -94,11 +91,10 @@
     t.strictSame([first.status, first.headers["auburnpass-outcome"]], [503, "unknown"]);
     t.strictSame([again.status, again.headers["auburnpass-outcome"]], [503, "unknown"]);
     t.equal(service?.runs.length, 1);
-    await system.stop();
 });
 
 t.test("with the platform down idempotent work goes on, and a booking is refused at once", async t => {
-    const system = await startSmallSystem({ engines: 1, services: 1 });
+    const system = await startSmallSystem(t, { engines: 1, services: 1 });
     system.platform.faults.isDown = true;
     const url = system.urls[0] ?? "";
     const answer = await sendChat({ url, key: PARENT, text: "still here" });
@@ -111,11 +107,10 @@
     system.platform.faults.isDown = false;
     const later = await sendServiceCall({ ...COURIER, url, idempotencyKey: "later", body: "{}" });
     t.equal(later.status, 201);
-    await system.stop();
 });
 
 t.test("an agent that stops in order gets no new work, cuts nothing, and leaves its answers", async t => {
-    const system = await startSmallSystem({ engines: 2, services: 1, engine: { stepMs: 10 } });
+    const system = await startSmallSystem(t, { engines: 2, services: 1, engine: { stepMs: 10 } });
     const url = system.urls[0] ?? "";
     const booking = { ...COURIER, url, idempotencyKey: "kept", body: "{}" };
     const first = await sendServiceCall(booking);
@@ -131,11 +126,10 @@
     t.equal(again.body.toString("utf8"), first.body.toString("utf8"), "the answer outlives its agent");
     const refused = await sendChat({ url, key: PARENT, text: "too late" });
     t.equal(refused.headers["auburnpass-outcome"], "not-run");
-    await system.stop();
 });
 
 t.test("malformed input gets a clear refusal, and nothing is run", async t => {
-    const system = await startSmallSystem({ engines: 1, services: 1, bodyMs: 300 });
+    const system = await startSmallSystem(t, { engines: 1, services: 1, bodyMs: 300 });
     const url = system.urls[0] ?? "";
     const headers = { authorization: `Bearer ${PARENT}` };
     const chat = `${url}/v1/chat/completions`;
@@ -158,5 +152,4 @@
     }
     t.matchSnapshot(answers);
     t.equal(system.engines[0]?.runs.length, 0);
-    await system.stop();
 });
--- a/tests/router/faultsTests.ts
+++ b/tests/router/faultsTests.ts
@@ -7,7 +7,7 @@
 
 t.test("a request that crashes its endpoints costs two of them at most, and its companions are served", async t => {
     const crashed: number[] = [];
-    const system = await startSmallSystem({
+    const system = await startSmallSystem(t, {
         engines: 4,
         services: 0,
         routers: 2,
@@ -40,11 +40,10 @@
     t.strictSame(statuses.slice(1), [422, 422, 422, 422, 422], "every later copy is refused at every host");
     const answers = await Promise.all(companions);
     answers.forEach((answer, index) => t.equal(readStreamText(answer.body), computeAnswer(`user:good${index}`, 60)));
-    await system.stop();
 });
 
 t.test("a connection that goes silent is found by progress, and the attempt is followed, not repeated", async t => {
-    const system = await startSmallSystem({ engines: 1, services: 1, hasLinks: true, engine: { stepMs: 10 } });
+    const system = await startSmallSystem(t, { engines: 1, services: 1, hasLinks: true, engine: { stepMs: 10 } });
     const url = system.urls[0] ?? "";
     const [engineLink, serviceLink] = system.links;
     const streaming = sendChat({ url, key: "key-of-parents", text: "silent", tokens: 100, isStream: true });
@@ -64,5 +63,4 @@
     const answer = await sending;
     t.equal(answer.status, 201);
     t.equal(service?.runs.length, 1);
-    await system.stop();
 });
--- a/tests/router/wholePathTests.ts
+++ b/tests/router/wholePathTests.ts
@@ -4,7 +4,7 @@
 import { startSmallSystem } from "../fixtures.js";
 
 t.test("a request of each rank of work goes through router and agent to the endpoint and back", async t => {
-    const system = await startSmallSystem({ engines: 2, services: 1, routers: 2 });
+    const system = await startSmallSystem(t, { engines: 2, services: 1, routers: 2 });
     const [url, otherUrl] = system.urls as [string, string];
     const urgent = await sendChat({ url, key: "key-of-parents", text: "cracked wheel", isStream: true });
     t.equal(urgent.status, 200);
@@ -21,5 +21,4 @@
     t.equal(first.status, 201);
     t.equal(again.body.toString("utf8"), first.body.toString("utf8"), "the kept answer, byte for byte");
     t.equal(system.services[0]?.runs.filter(run => run.method === "POST").length, 1);
-    await system.stop();
 });
