--- a/src/agent/AgentServer.ts
+++ b/src/agent/AgentServer.ts
@@ -1,5 +1,5 @@
 import http from "node:http";
-import { SpanKind } from "@opentelemetry/api";
+import { ROOT_CONTEXT, SpanKind, trace } from "@opentelemetry/api";
 import { WORK_RANKS, type WorkRank } from "../config/index.js";
 import { Cause, HopHeader, Outcome, copyEndToEndHeaders, getHeader, sendRefusal } from "../protocol/index.js";
 import { type Tracing, endSpan } from "../telemetry/index.js";
@@ -96,7 +96,12 @@
                 if (response.destroyed && attempt.isIdempotent) {
                     core.releaseAttempt(attempt.id);
                 }
-                attachReader(response, record, 0, end => endSpan(span, end === AnswerEnd.Whole ? undefined : end));
+                const hop = tracing.startSpan("agent.endpoint", SpanKind.CLIENT, trace.setSpan(ROOT_CONTEXT, span));
+                attachReader(response, record, 0, end => {
+                    const failure = end === AnswerEnd.Whole ? undefined : end;
+                    endSpan(hop, failure);
+                    endSpan(span, failure);
+                });
             },
             onRefused(refusal) {
                 endSpan(span, refusal.cause);
