--- a/src/agent/AgentCore.ts
+++ b/src/agent/AgentCore.ts
@@ -1,5 +1,5 @@
 import http from "node:http";
-import { type EndpointKind, WorkRank, mapRanks } from "../config/index.js";
+import { WorkRank, mapRanks } from "../config/index.js";
 import { Cause, Outcome } from "../protocol/index.js";
 import type { RejectedWork, WorkItem, WorkQueue } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
@@ -59,7 +59,6 @@
 
 /** Options of the agent's core. */
 export interface AgentCoreOptions {
-    endpointKind: EndpointKind;
     endpointUrl: string;
     concurrency: number;
     stallMs: number;
--- a/src/agent/startAgent.ts
+++ b/src/agent/startAgent.ts
@@ -46,7 +46,6 @@
     let sequence = 0;
     let isDown = false;
     const core = createAgentCore({
-        endpointKind: settings.endpoint.kind,
         endpointUrl: settings.endpoint.url,
         concurrency: settings.endpoint.concurrency,
         stallMs: settings.stallMs,
