Wake a frozen process before waiting for its planned stop

By reading: the pair of a freeze and a planned stop of the same process makes the harness wait for an exit that can't come. Not confirmed by a trace. Change: the harness wakes the process first.

--- a/bench/matrix/cells.ts
+++ b/bench/matrix/cells.ts
@@ -202,9 +202,13 @@
         .with(Fault.PlatformDown, Fault.PlatformSlow, () =>
             fleet.setFaults(fleet.platformUrl, { isDown: false, delayMs: 0 }),
         )
-        .with(Fault.StopRouter, () => matrix.routers[0]?.process.waitForExit())
+        .with(Fault.StopRouter, () => {
+            matrix.routers[0]?.process.signal("SIGCONT");
+            return matrix.routers[0]?.process.waitForExit();
+        })
         .with(Fault.StopAgent, async () => {
             const stopped = [matrix.services[0], matrix.engines[0]];
+            stopped.forEach(endpoint => endpoint?.agent.signal("SIGCONT"));
             await Promise.all(stopped.map(endpoint => endpoint?.agent.waitForExit()));
         })
         .otherwise(() => undefined);
