--- a/src/errors/ErrorCode.ts
+++ b/src/errors/ErrorCode.ts
@@ -1,10 +1,5 @@
 /** Kinds of failure that callers of a function tell apart. */
 export enum ErrorCode {
-    InvalidArgument = "InvalidArgument",
-    InvalidSettings = "InvalidSettings",
-    InvalidDocument = "InvalidDocument",
-    NotFound = "NotFound",
-    Conflict = "Conflict",
     /** The platform answered that the call had no effect, or was never sent. */
     PlatformUnavailable = "PlatformUnavailable",
     /** The platform's answer was lost; the call may have taken effect. */
