Coordinate expert maps from agents beside the ranks

Cause: with map 0 the most loaded rank had 3.2 times the mean, and passes took as long as it did. Orders are fenced by version, pass and epoch instead. Change: src/groups/ordered (loads, plan, change under a hold, settlement, leadership), platform/RankClient, a role on side machines.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -2,7 +2,7 @@
 import { build } from "esbuild";
 
 await build({
-    entryPoints: { "auburnpass-direct": "platform/main.ts" },
+    entryPoints: { "auburnpass-direct": "platform/routerMain.ts", "auburnpass-rank-agent": "platform/agentMain.ts" },
     outdir: "target",
     bundle: true,
     platform: "node",
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -42,6 +42,11 @@
     status: number;
     /** The endpoint declares that it has not run the request. */
     isNotRun: boolean;
+    /**
+     * Tells whether the connection broke. The parser takes a reset for the end of an answer without a length,
+     * so its own word that the answer is complete isn't enough.
+     */
+    isCut: () => boolean;
 }
 
 /** Result of opening a call. */
@@ -68,6 +73,7 @@
     return new Promise(resolve => {
         const { endpoint } = request;
         let isConnected = false;
+        let isCut = false;
         const call = http.request({
             host: endpoint.host,
             port: endpoint.port,
@@ -86,13 +92,14 @@
             });
         });
         call.on("error", error => {
+            isCut = true;
             clearTimeout(connectTimer);
             resolve({ failed: describeFailure(error, isConnected, signal.aborted) });
         });
         call.on("response", response => {
             clearTimeout(connectTimer);
             response.on("error", () => undefined);
-            const opening = checkHead(response, request, names);
+            const opening = checkHead(response, request, names, () => isCut);
             if ("failed" in opening) {
                 response.destroy();
             }
@@ -114,7 +121,12 @@
 }
 
 /** Checks that the answer belongs to the request, and that a success bears a signature. */
-function checkHead(response: http.IncomingMessage, request: EndpointRequest, names: HeaderNames): CallOpening {
+function checkHead(
+    response: http.IncomingMessage,
+    request: EndpointRequest,
+    names: HeaderNames,
+    isCut: () => boolean,
+): CallOpening {
     const { headers } = response;
     const status = response.statusCode ?? 0;
     const echoed = headers[names.attempt];
@@ -123,7 +135,7 @@
         return createHeadFailure(CallFailure.Mismatched, `the answer is for attempt ${String(echoed)}`);
     }
     if (isNotRun) {
-        return { answer: { response, status, isNotRun } };
+        return { answer: { response, status, isNotRun, isCut } };
     }
     if (echoed === undefined) {
         return createHeadFailure(CallFailure.Spoiled, `status ${status} names no attempt`);
@@ -135,7 +147,7 @@
     if (isSuccess && headers[names.signature] === undefined) {
         return createHeadFailure(CallFailure.Spoiled, `status ${status} without a signature`);
     }
-    return { answer: { response, status, isNotRun } };
+    return { answer: { response, status, isNotRun, isCut } };
 }
 
 function createHeadFailure(failure: CallFailure, detail: string): CallOpening {
--- a/src/direct/EndpointRecord.ts
+++ b/src/direct/EndpointRecord.ts
@@ -12,4 +12,6 @@
     isLeaving: boolean;
     /** Wall-clock time of the endpoint's start in milliseconds; 0 if it isn't told. */
     bornAt: number;
+    /** Place in a group whose ranks run in lock-step. */
+    group: { name: string; rank: number; size: number } | undefined;
 }
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -29,7 +29,7 @@
                 }
                 return whole.relayAnswer(answer, isLast);
             }
-            return relayEvents(answer.response, answer.status);
+            return relayEvents(answer);
         }
 
         override buildAttemptHeaders(): Record<string, string> {
@@ -45,13 +45,14 @@
         }
     })();
 
-    function relayEvents(answer: http.IncomingMessage, status: number): Promise<RelayEnd> {
+    function relayEvents(opened: OpenedAnswer): Promise<RelayEnd> {
+        const { response: answer, status } = opened;
         return new Promise(resolve => {
             const splitter = createEventSplitter();
             const resume = (): void => void answer.resume();
             let isDone = false;
             answer.on("data", (chunk: Buffer) => relayChunk(chunk));
-            answer.on("end", () => finish(answer.complete));
+            answer.on("end", () => finish(answer.complete && !opened.isCut()));
             answer.on("close", () => finish(false));
             response.on("close", () => finish(false));
             response.on("drain", resume);
--- a/src/direct/relay/WholeRelay.ts
+++ b/src/direct/relay/WholeRelay.ts
@@ -34,6 +34,9 @@
                 response.destroy();
                 return RelayEnd.Broken;
             }
+            if (answer.isCut()) {
+                return RelayEnd.Broken;
+            }
             const whole = { status, headers: response.headers, body };
             if (status >= FIRST_FAILURE_STATUS && !isLast) {
                 kept = whole;
--- /dev/null
+++ b/src/groups/ordered/AgentRankLink.ts
@@ -0,0 +1,107 @@
+import { type ControlClient, createControlClient } from "../../control/index.js";
+import { ErrorCode, createError } from "../../errors/index.js";
+import { RankLink } from "./RankLink.js";
+import {
+    type OrderCondition,
+    OrderAnswer,
+    type OrderResult,
+    type RankCounts,
+    type RankExperts,
+    type RankOrder,
+    type RankReport,
+} from "./RankReport.js";
+import type { RankControl, RankLook } from "./rankControl.js";
+
+/** Link to a rank through the agent beside it. */
+export abstract class AgentRankLink extends RankLink {
+    /** Reads report and counts with one call. */
+    abstract look(): Promise<{ report: RankReport; counts: RankCounts }>;
+    abstract close(): void;
+}
+
+/** Options of a link. */
+export interface AgentRankLinkOptions {
+    /** Address and port of the agent. */
+    address: string;
+    processKey: string;
+    getTerm: () => number;
+    /** The agent has heard a coordinator of a higher term. */
+    onSuperseded: () => void;
+    /** Time allowed for a call, in milliseconds. */
+    timeoutMs: number;
+}
+
+/**
+ * Creates a link through an agent.
+ * @param options - Address and term.
+ */
+export function createAgentRankLink(options: AgentRankLinkOptions): AgentRankLink {
+    const client: ControlClient<RankControl> = createControlClient(options.address, options.processKey);
+
+    return new (class ControlRankLink extends AgentRankLink {
+        override async readReport(): Promise<RankReport> {
+            return (await lookAt(false)).report;
+        }
+
+        override async readCounts(): Promise<RankCounts> {
+            return (await this.look()).counts;
+        }
+
+        override async look(): Promise<{ report: RankReport; counts: RankCounts }> {
+            const { report, counts } = await lookAt(true);
+            if (counts === undefined) {
+                throw createSilence("counts");
+            }
+            return { report, counts };
+        }
+
+        override async readExperts(): Promise<RankExperts> {
+            return client.call(
+                (control, signal) => control.readExperts.query(undefined, { signal }),
+                options.timeoutMs,
+            );
+        }
+
+        override async sendOrder(order: RankOrder, condition: OrderCondition): Promise<OrderResult> {
+            try {
+                return (await client.call<unknown>(
+                    (control, signal) =>
+                        control.sendOrder.mutate(
+                            { term: options.getTerm(), order: order as never, condition },
+                            { signal },
+                        ),
+                    options.timeoutMs,
+                )) as OrderResult;
+            } catch (error) {
+                const detail = error instanceof Error ? error.message : String(error);
+                return { answer: OrderAnswer.Unknown, detail, report: undefined };
+            }
+        }
+
+        override close(): void {
+            client.close();
+        }
+    })();
+
+    async function lookAt(hasCounts: boolean): Promise<{ report: RankReport; counts: RankCounts | undefined }> {
+        const look = (await client.call<unknown>(
+            (control, signal) => control.look.query({ term: options.getTerm(), hasCounts }, { signal }),
+            options.timeoutMs,
+        )) as RankLook;
+        if (!look.isAccepted) {
+            options.onSuperseded();
+        }
+        if (look.report === undefined) {
+            throw createSilence("a report");
+        }
+        return { report: look.report, counts: look.counts };
+    }
+
+    function createSilence(what: string): Error {
+        return createError({
+            code: ErrorCode.Refused,
+            expected: `${what} of the agent at ${options.address}`,
+            got: "none",
+        });
+    }
+}
--- /dev/null
+++ b/src/groups/ordered/ExpertLoads.ts
@@ -0,0 +1,73 @@
+import { buildList } from "../../utils/list.js";
+import type { RankCounts } from "./RankReport.js";
+
+/** Estimates how much of the work each expert gets now, from the counts of the ranks. */
+export interface ExpertLoads {
+    /** Takes in the counts of a rank; counts since its last report are what is learned. */
+    recordCounts(rank: number, counts: RankCounts, now: number): void;
+    /** Gets the load of each expert by set of layers. */
+    getLoads(now: number): number[][];
+    /** Gets the number of choices on which the loads rest, of about the last time constant. */
+    getWeight(now: number): number;
+    /** Forgets the last counts of the ranks, which start anew with an epoch; the loads stay. */
+    restartCounts(): void;
+}
+
+/** Options of the estimate. */
+export interface ExpertLoadsOptions {
+    layerSets: number;
+    experts: number;
+    /** Time constant with which choices are forgotten, in milliseconds. */
+    timeConstantMs: number;
+}
+
+/**
+ * Creates an estimate that knows nothing.
+ * @param options - Sizes and time constant.
+ */
+export function createExpertLoads(options: ExpertLoadsOptions): ExpertLoads {
+    const { layerSets, experts } = options;
+    const loads = buildList(layerSets, () => new Array<number>(experts).fill(0));
+    const last = new Map<number, RankCounts>();
+    let weight = 0;
+    let decayedAt: number | undefined;
+    return { recordCounts, getLoads, getWeight, restartCounts: () => last.clear() };
+
+    function recordCounts(rank: number, counts: RankCounts, now: number): void {
+        const before = last.get(rank);
+        last.set(rank, counts);
+        const hasRestarted =
+            before !== undefined && counts.counts.some((count, at) => count < (before.counts[at] ?? 0));
+        if (before === undefined || before.epoch !== counts.epoch || hasRestarted) {
+            return;
+        }
+        decay(now);
+        loads.forEach((ofSet, set) => {
+            for (let expert = 0; expert < experts; expert++) {
+                const at = set * experts + expert;
+                const added = (counts.counts[at] ?? 0) - (before.counts[at] ?? 0);
+                ofSet[expert] = (ofSet[expert] ?? 0) + added;
+                weight += added;
+            }
+        });
+    }
+
+    function decay(now: number): void {
+        if (decayedAt !== undefined && now > decayedAt) {
+            const factor = Math.exp(-(now - decayedAt) / options.timeConstantMs);
+            loads.forEach(ofSet => ofSet.forEach((load, expert) => (ofSet[expert] = load * factor)));
+            weight *= factor;
+        }
+        decayedAt = now;
+    }
+
+    function getLoads(now: number): number[][] {
+        decay(now);
+        return loads.map(ofSet => [...ofSet]);
+    }
+
+    function getWeight(now: number): number {
+        decay(now);
+        return weight;
+    }
+}
--- /dev/null
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -0,0 +1,196 @@
+import { EventId } from "../../telemetry/EventId.js";
+import type { Logger } from "../../telemetry/logger.js";
+import { readMonotonicMs } from "../../utils/time.js";
+import type { AgentRankLink } from "./AgentRankLink.js";
+import { type ExpertLoads, createExpertLoads } from "./ExpertLoads.js";
+import { ChangeEnd, computeQuietPasses, createMapChanger } from "./MapChange.js";
+import type { ExpertMap, RankCounts, RankReport } from "./RankReport.js";
+import { type PlanLimits, computeSetRatio, planSet } from "./planMap.js";
+
+/** Layout of the experts in a group. */
+export interface GroupLayout {
+    layerSets: number;
+    experts: number;
+    placements: number;
+    reserve: number;
+}
+
+/** Options of a coordinator. */
+export interface MapCoordinatorOptions {
+    group: string;
+    layout: GroupLayout;
+    /** Links by rank. */
+    links: readonly AgentRankLink[];
+    isLeader: () => boolean;
+    logger: Logger;
+}
+
+/** Follows the load of the experts of one group and changes its map when that pays. */
+export interface MapCoordinator {
+    /** Looks at all ranks, learns, and makes at most one change. */
+    runRound(): Promise<void>;
+}
+
+/** Time constant of the loads: about the length of a usual answer, since a change of demand shows in new requests. */
+const LOAD_TIME_MS = 600;
+/** Choices of experts, by set, below which the loads are too noisy for a change. */
+const LEAST_WEIGHT = 20_000;
+/** Fall of the most loaded rank's load, in means of all ranks, from which a change pays. */
+const LEAST_GAIN = 0.12;
+/** Part of the objective that a copied expert must bring; keeps copies of cold experts out. */
+const GAIN_PER_COPY = 0.003;
+const PREPARE_MS = 3_000;
+const SWITCH_MS = 1_500;
+const POLL_MS = 25;
+/** Passes between the newest one known and the switch: orders take a few milliseconds, a pass takes tens. */
+const LEAD_PASSES = 3;
+/** Versions grow with time, so that a coordinator that knows no earlier one still chooses a higher one. */
+const VERSION_PERIOD_MS = 100;
+const VERSION_START = 17_000_000_000;
+
+/** Look at all ranks of a group in the same epoch. */
+interface GroupLook {
+    reports: RankReport[];
+    counts: RankCounts[];
+}
+
+/**
+ * Creates the coordinator of a group.
+ * @param options - Ranks and layout.
+ */
+export function createMapCoordinator(options: MapCoordinatorOptions): MapCoordinator {
+    const { links, layout, logger } = options;
+    const loads: ExpertLoads = createExpertLoads({ ...layout, timeConstantMs: LOAD_TIME_MS });
+    const changer = createMapChanger({
+        links,
+        prepareMs: PREPARE_MS,
+        switchMs: SWITCH_MS,
+        pollMs: POLL_MS,
+        leadPasses: LEAD_PASSES,
+        isLeader: options.isLeader,
+    });
+    const limits: PlanLimits = {
+        placements: layout.placements,
+        reserve: layout.reserve,
+        leastGainPerCopy: GAIN_PER_COPY,
+    };
+    let epoch: number | undefined;
+    let map: ExpertMap | undefined;
+    let mapVersion = 0;
+    let lastVersion = 0;
+    /** A new coordinator fences its predecessors before it changes anything. */
+    let isSettled = false;
+    /** First pass after which a change may be made. */
+    let quietUntil = 0;
+    return { runRound };
+
+    async function runRound(): Promise<void> {
+        const look = await lookAtAll();
+        if (look === undefined) {
+            return;
+        }
+        const version = Math.max(...look.reports.map(report => report.mapVersion));
+        if (look.reports[0]?.epoch !== epoch || version !== mapVersion || map === undefined) {
+            await readMap(look, version);
+        }
+        if (map === undefined) {
+            return;
+        }
+        const hasRemains = look.reports.some(report => report.armed !== undefined || report.heldStep !== undefined);
+        if (!isSettled || hasRemains) {
+            const settled = await changer.settleGroup(map, getNextVersion(look.reports));
+            isSettled = settled.isSettled;
+            quietUntil = Math.max(...look.reports.map(report => report.step)) + computeQuietPasses(LEAD_PASSES);
+            logger.logEvent(EventId.GroupFenced, { group: options.group, epoch, hasRemains, ...settled });
+            return;
+        }
+        learn(look);
+        if (look.reports.every(report => report.step >= quietUntil)) {
+            await changeIfBetter(look.reports);
+        }
+    }
+
+    async function lookAtAll(): Promise<GroupLook | undefined> {
+        const looks = await Promise.all(links.map(link => link.look().catch(() => undefined)));
+        const known = looks.filter(look => look !== undefined);
+        const first = known[0]?.report.epoch;
+        const isWhole =
+            known.length === links.length && known.every(look => look.report.isOpen && look.report.epoch === first);
+        return isWhole
+            ? { reports: known.map(look => look.report), counts: known.map(look => look.counts) }
+            : undefined;
+    }
+
+    async function readMap(look: GroupLook, version: number): Promise<void> {
+        if (look.reports.some(report => report.mapVersion !== version)) {
+            // A switch is under way; the next look sees one version.
+            return;
+        }
+        if (look.reports[0]?.epoch !== epoch) {
+            loads.restartCounts();
+        }
+        const byRank = await Promise.all(links.map(link => link.readExperts().catch(() => undefined)));
+        const known = byRank.filter(experts => experts !== undefined);
+        if (known.length !== links.length) {
+            return;
+        }
+        epoch = look.reports[0]?.epoch;
+        mapVersion = version;
+        map = Array.from({ length: layout.layerSets }, (unused, set) => known.map(experts => experts[set] ?? []));
+    }
+
+    function learn(look: GroupLook): void {
+        const now = readMonotonicMs();
+        look.counts.forEach((counts, rank) => loads.recordCounts(rank, counts, now));
+    }
+
+    async function changeIfBetter(reports: readonly RankReport[]): Promise<void> {
+        const now = readMonotonicMs();
+        if (map === undefined || loads.getWeight(now) < LEAST_WEIGHT * layout.layerSets) {
+            return;
+        }
+        const current = map;
+        const expertLoads = loads.getLoads(now);
+        const ratio = computeMean(current.map((ofSet, set) => computeSetRatio(ofSet, expertLoads[set] ?? [])));
+        if (ratio < 1 + LEAST_GAIN) {
+            return;
+        }
+        const plans = current.map((ofSet, set) => planSet(ofSet, expertLoads[set] ?? [], limits));
+        const planned = computeMean(plans.map(plan => plan.after));
+        if (ratio - planned < LEAST_GAIN) {
+            return;
+        }
+        const next = plans.map(plan => plan.experts);
+        const version = getNextVersion(reports);
+        const planMs = Math.round(readMonotonicMs() - now);
+        const result = await changer.changeMap(next, version);
+        logger.logEvent(result.end === ChangeEnd.Changed ? EventId.GroupMapChanged : EventId.GroupChangeAbandoned, {
+            group: options.group,
+            epoch,
+            version,
+            end: result.end,
+            detail: result.detail,
+            loadBefore: Number(ratio.toFixed(3)),
+            loadAfter: Number(planned.toFixed(3)),
+            copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
+            planMs,
+            tookMs: Math.round(readMonotonicMs() - now),
+        });
+        isSettled = result.end !== ChangeEnd.Unsettled;
+    }
+
+    function getNextVersion(reports: readonly RankReport[]): number {
+        const seen = reports.flatMap(report => [
+            report.mapVersion,
+            report.preparedVersion ?? 0,
+            report.armed?.version ?? 0,
+        ]);
+        const byTime = Math.floor(Date.now() / VERSION_PERIOD_MS) - VERSION_START;
+        lastVersion = Math.max(lastVersion, byTime, ...seen) + 1;
+        return lastVersion;
+    }
+}
+
+function computeMean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -33,5 +33,8 @@
     GroupChangePermitted = 6003,
     GroupChangeAbandoned = 6004,
     GroupCoordinatorLost = 6005,
+    GroupOfficeWon = 6006,
+    GroupMapChanged = 6007,
+    GroupIncomplete = 6008,
     SummaryWritten = 7001,
 }
