--- a/src/groups/ordered/planMap.ts
+++ b/src/groups/ordered/planMap.ts
@@ -58,7 +58,10 @@
     const mean = expertLoads.reduce((sum, load) => sum + load, 0) / current.length;
     const before = computeRatio(state.loads, mean);
     if (mean > 0) {
-        for (let moves = 0; moves < MAX_MOVES && applyBestMove(state, mean); moves++);
+        let moves = 0;
+        while (moves < MAX_MOVES && applyBestMove(state, mean)) {
+            moves++;
+        }
     }
     return {
         experts: state.ranks.map(experts => [...experts].sort((left, right) => left - right)),
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "../../telemetry/logger.js";
 import { listenOn } from "../../utils/http.js";
 import type { RunningProgram } from "../../utils/runUntilSignal.js";
+import { startFreezeWatch } from "../../utils/FreezeWatch.js";
 import { type Loop, readMonotonicMs, startLoop } from "../../utils/time.js";
 import { type AgentRankLink, createAgentRankLink } from "./AgentRankLink.js";
 import { createLeadership } from "./Leadership.js";
@@ -40,6 +41,8 @@
 /** Silence of the coordinator after which the first rank tries to take over; the next ones wait longer, in milliseconds. */
 const SILENCE_MS = 1_200;
 const SILENCE_PER_RANK_MS = 300;
+/** Standstill after which a coordinator asks for its office again; well below the lease, in milliseconds. */
+const FROZEN_MS = 1_000;
 /** Time between two listings of the group's members while some are unknown, in milliseconds. */
 const LISTING_MS = 1_000;
 
@@ -55,8 +58,8 @@
     logger: Logger,
 ): Promise<RunningProgram> {
     const { link } = platform;
-    const startedAt = readMonotonicMs();
-    let heardAt = startedAt;
+    const freeze = startFreezeWatch(FROZEN_MS);
+    let heardAt = readMonotonicMs();
     let highestTerm = 0;
     let ownReport: RankReport | undefined;
     let coordinator: MapCoordinator | undefined;
@@ -73,6 +76,7 @@
     return {
         async stop() {
             logger.logEvent(EventId.ProcessDraining);
+            freeze.stop();
             await loop.stop();
             links.forEach(member => member.close());
             control.close();
@@ -91,6 +95,11 @@
     }
 
     async function runRound(): Promise<void> {
+        if (freeze.hasStoodStill()) {
+            // Another agent may have won the office meanwhile.
+            leaveOffice();
+            freeze.reset();
+        }
         const isInOffice = leadership?.getTerm() !== undefined;
         if (!isInOffice && !isCoordinatorSilent()) {
             return;
@@ -175,7 +184,7 @@
             group: report.group,
             layout,
             links,
-            isLeader: () => leadership?.getTerm() !== undefined,
+            isLeader: () => leadership?.getTerm() !== undefined && !freeze.hasStoodStill(),
             logger,
         });
     }
--- a/src/telemetry/BoundedWriter.ts
+++ b/src/telemetry/BoundedWriter.ts
@@ -60,8 +60,7 @@
         write(options.descriptor, bytes, (error, written) => {
             if (error?.code === "EAGAIN") {
                 setTimeout(() => writeBytes(bytes), RETRY_MS);
-            } else if (error === null && written < bytes.length) {
-                // eslint-disable-line no-restricted-syntax
+            } else if (!error && written < bytes.length) {
                 writeBytes(bytes.subarray(written));
             } else if (waiting.length > 0) {
                 writeWaiting();
