--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -19,13 +19,11 @@
 export interface StoreSync {
     /** Time since the service last answered a call about the endpoints, in milliseconds. */
     getAgeMs(): number;
-    /** True once the endpoints were listed. */
-    hasListed(): boolean;
     stop(): Promise<void>;
 }
 
 /** Longest wait for a new document; peers tell of one that this router misses. */
-const DOCUMENT_WAIT_MS = 5_000;
+const DOCUMENT_WAIT_MS = 2_500;
 const DOCUMENT_PERIOD_MS = 50;
 /** Bounds the silence by which an outage is seen. */
 const ENDPOINT_WAIT_MS = 2_000;
@@ -39,45 +37,40 @@
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
     const { service, codec, holder, directory, logger } = options;
     let answeredAt = Number.NEGATIVE_INFINITY;
-    let isListed = false;
     let isDown = false;
-    const watchers: PrefixWatcher[] = [
-        startPrefixWatcher({
-            service,
-            prefix: codec.documentPrefix,
-            waitMs: DOCUMENT_WAIT_MS,
-            periodMs: DOCUMENT_PERIOD_MS,
-            listener: {
-                onListing: entries => entries.forEach(takeDocument),
-                onChanged: takeDocument,
-                onDeleted: () => undefined,
-                onAnswer: () => undefined,
-                onFailure: recordFailure,
-            },
-        }),
-        startPrefixWatcher({
-            service,
-            prefix: codec.endpointPrefix,
-            waitMs: ENDPOINT_WAIT_MS,
-            periodMs: ENDPOINT_PERIOD_MS,
-            listener: {
-                onListing(entries) {
-                    isListed = true;
-                    const records = entries.map(readEndpoint).filter(record => record !== undefined);
-                    directory.applyListing(records, readMonotonicMs());
-                },
-                onChanged: takeEndpoint,
-                onDeleted: key => directory.removeRecord(codec.getEndpointId(key), readMonotonicMs()),
-                onAnswer: recordAnswer,
-                onFailure: recordFailure,
+    const documentWatcher: PrefixWatcher = startPrefixWatcher({
+        service,
+        prefix: codec.documentPrefix,
+        waitMs: DOCUMENT_WAIT_MS,
+        periodMs: DOCUMENT_PERIOD_MS,
+        listener: {
+            onListing: entries => entries.forEach(takeDocument),
+            onChanged: takeDocument,
+            onDeleted: () => undefined,
+            onAnswer: () => undefined,
+            onFailure: recordFailure,
+        },
+    });
+    const endpointWatcher: PrefixWatcher = startPrefixWatcher({
+        service,
+        prefix: codec.endpointPrefix,
+        waitMs: ENDPOINT_WAIT_MS,
+        periodMs: ENDPOINT_PERIOD_MS,
+        listener: {
+            onListing(entries) {
+                const records = entries.map(readEndpoint).filter(record => record !== undefined);
+                directory.applyListing(records, readMonotonicMs());
             },
-        }),
-    ];
+            onChanged: takeEndpoint,
+            onDeleted: key => directory.removeRecord(codec.getEndpointId(key), readMonotonicMs()),
+            onAnswer: recordAnswer,
+            onFailure: recordFailure,
+        },
+    });
     return {
         getAgeMs: () => readMonotonicMs() - answeredAt,
-        hasListed: () => isListed,
         async stop() {
-            await Promise.all(watchers.map(watcher => watcher.stop()));
+            await Promise.all([documentWatcher.stop(), endpointWatcher.stop()]);
         },
     };
 
@@ -116,6 +109,8 @@
         directory.expireLapsed(answeredAt);
         if (isDown) {
             isDown = false;
+            // The watch for documents may hang on a connection that the outage has killed.
+            documentWatcher.restart();
             logger.logEvent(EventId.PlatformRestored);
         }
     }
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -40,6 +40,8 @@
 const PEER_FRESH_MS = 1_000;
 /** Time allowed for a request's body where the document sets none, in milliseconds. */
 const BODY_MS = 10_000;
+/** Time that open calls of the process's own get to end, in milliseconds. */
+const CLOSE_MS = 200;
 /** Routers assumed to share the retry budget until more are known; errs low after a start alone. */
 const LEAST_ROUTERS = 16;
 
@@ -143,7 +145,13 @@
         [settings.processKey],
     );
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
-    return { stop };
+    let stopping: Promise<void> | undefined;
+    return {
+        stop() {
+            stopping ??= drain();
+            return stopping;
+        },
+    };
 
     function isServing(): boolean {
         return !isDraining && holder.getIndex() !== undefined && directory.countRecords() > 0;
@@ -172,7 +180,7 @@
     }
 
     /** Requests go on being served while the balancer turns away; the process ends when all are answered. */
-    async function stop(): Promise<void> {
+    async function drain(): Promise<void> {
         const startedAt = readMonotonicMs();
         isDraining = true;
         callers.startDraining();
@@ -184,6 +192,10 @@
         await Promise.race([callers.waitUntilIdle(), waitFor(leftMs)]);
         logger.logEvent(EventId.ProcessStopped, { concurrent: callers.getConcurrent() });
         controlServer.close();
+        readiness.close();
+        control.close();
+        callers.server.closeAllConnections();
+        await Promise.race([Promise.all([news.stop(), sync.stop(), fallback.stop()]), waitFor(CLOSE_MS)]);
         await logger.flush();
     }
 }
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -80,6 +80,7 @@
             await loop.stop();
             links.forEach(member => member.close());
             control.close();
+            server.close();
             logger.logEvent(EventId.ProcessStopped);
             await logger.flush();
         },
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -27,6 +27,8 @@
 
 /** Follows the entries below a prefix. */
 export interface PrefixWatcher {
+    /** Gives up the call in progress, whose connection may be dead, and reads a new listing at once. */
+    restart(): void;
     stop(): Promise<void>;
 }
 
@@ -44,20 +46,39 @@
     /** Revisions of the entries, so that an answer that overlaps an earlier one changes nothing. */
     let revisions = new Map<string, number>();
     let retryMs = FIRST_RETRY_MS;
+    let running = new AbortController();
     const loop: Loop = startLoop(0, follow, () => undefined);
-    return { stop: () => loop.stop() };
+    return {
+        restart() {
+            revision = undefined;
+            running.abort();
+        },
+        async stop() {
+            running.abort();
+            await loop.stop();
+        },
+    };
 
-    async function follow(signal: AbortSignal): Promise<void> {
+    async function follow(stopping: AbortSignal): Promise<void> {
         const startedAt = readMonotonicMs();
+        running = new AbortController();
+        const signal = AbortSignal.any([stopping, running.signal]);
         try {
             if (revision === undefined) {
                 await readListing();
             } else {
-                applyAnswer(await service.watchEntries(prefix, revision, options.waitMs, signal));
+                const answer = await service.watchEntries(prefix, revision, options.waitMs, signal);
+                if (running.signal.aborted) {
+                    return;
+                }
+                applyAnswer(answer);
             }
             retryMs = FIRST_RETRY_MS;
             listener.onAnswer();
         } catch (error) {
+            if (running.signal.aborted) {
+                return;
+            }
             if (hasErrorCode(error, ErrorCode.HistoryLost)) {
                 revision = undefined;
                 return;
--- a/standins/group/OrderedGroup.ts
+++ b/standins/group/OrderedGroup.ts
@@ -132,7 +132,12 @@
         return isDone ? OrderAnswer.Accepted : OrderAnswer.Refused;
     }
 
-    function prepare(state: RankState, rank: number, version: number, map: readonly (readonly (readonly number[])[])[]) {
+    function prepare(
+        state: RankState,
+        rank: number,
+        version: number,
+        map: readonly (readonly (readonly number[])[])[],
+    ) {
         if (state.preparedVersion === version || state.copying?.version === version) {
             return true;
         }
--- /dev/null
+++ b/tests/direct/fixtures.ts
@@ -0,0 +1,187 @@
+import http from "node:http";
+import { findFreePorts } from "../../bench/fleet/ports.js";
+import { createPlatformCodec } from "../../platform/PlatformCodec.js";
+import { WIRE_HEADERS } from "../../platform/wireNames.js";
+import { startDirectRouter } from "../../src/direct/index.js";
+import { createLogger } from "../../src/telemetry/logger.js";
+import type { RunningProgram } from "../../src/utils/runUntilSignal.js";
+import { waitFor } from "../../src/utils/time.js";
+import { type EndpointStandin, startEndpointStandin } from "../../standins/endpoint/endpointStandin.js";
+import { type KeyValueStore, createKeyValueStore } from "../../standins/platform/KeyValueStore.js";
+import type { OwningTest } from "../fixtures.js";
+
+/** A direct router with endpoints of scripts, inside the test's process. */
+export interface DirectSystem {
+    store: KeyValueStore;
+    endpoints: EndpointStandin[];
+    router: RunningProgram;
+    port: number;
+    readinessPort: number;
+    /** Lines that the router has logged. */
+    lines: string[];
+    writeEndpoint(index: number, state?: string): Promise<void>;
+    writeDocument(version: number, change?: (document: WireDocument) => void): Promise<void>;
+}
+
+/** Document as the platform's operator writes it. */
+export type WireDocument = Record<string, unknown> & { version: number; routes: Record<string, unknown>[] };
+
+/** What a caller got. */
+export interface CallerAnswer {
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    body: string;
+    /** The connection ended in order after a whole answer. */
+    isWhole: boolean;
+}
+
+export const TEAM_KEY = "key-of-team-one";
+const ADDRESS = "127.0.0.1";
+const HOST = "shop.example";
+const POLL_MS = 20;
+const READY_TRIES = 250;
+
+/** Builds the document of the tests: a route of each kind. */
+export function buildDocument(version: number): WireDocument {
+    const base = { host: HOST, timeout_ms: 2_000, slo_ms: 300, service: "app", max_attempts: 2 };
+    return {
+        version,
+        routes: [
+            { ...base, name: "stock", path_prefix: "/stock/", route_kind: "safe", priority: 2 },
+            { ...base, name: "book", path_prefix: "/book/", route_kind: "unsafe", priority: 1, max_attempts: 1 },
+            { ...base, name: "advice", path_prefix: "/advice/", route_kind: "streaming", priority: 0, resumable: true },
+        ],
+        services: [{ name: "app", health_path: "/healthz", max_conns: 100 }],
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 100_000,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        tenants: [{ name: "one", api_keys: [TEAM_KEY] }],
+    };
+}
+
+/** Starts a router and some endpoints. */
+export async function startDirectSystem(t: OwningTest, endpointCount = 2): Promise<DirectSystem> {
+    const store = createKeyValueStore();
+    const lines: string[] = [];
+    const logger = createLogger("r1", { writeLine: line => lines.push(line), flush: () => Promise.resolve() });
+    const endpoints = await Promise.all(
+        Array.from({ length: endpointCount }, () => startEndpointStandin((seen, socket) => socket.destroy())),
+    );
+    const [callers = 0, readiness = 0, control = 0, newsPort = 0] = await findFreePorts(4);
+    await writeDocument(1);
+    for (const index of endpoints.keys()) {
+        await writeEndpoint(index);
+    }
+    const router = await startDirectRouter(
+        {
+            host: "r1",
+            zone: "a",
+            address: ADDRESS,
+            listen: {
+                callers: { address: ADDRESS, port: callers },
+                readiness: { address: ADDRESS, port: readiness },
+                control: { address: ADDRESS, port: control },
+            },
+            newsPort,
+            seeds: [],
+            processKey: "key-of-the-tests",
+            retries: { ratio: 0.2, burst: 1_000, windowMs: 10_000 },
+            drain: { noticeMs: 300, graceMs: 3_000 },
+            lapseGraceMs: 2_000,
+        },
+        { service: store, codec: createPlatformCodec(logger), names: WIRE_HEADERS },
+        logger,
+    );
+    t.teardown(async () => {
+        await Promise.all([router.stop(), ...endpoints.map(endpoint => endpoint.close())]);
+    });
+    await waitUntilReady(readiness);
+    return { store, endpoints, router, port: callers, readinessPort: readiness, lines, writeEndpoint, writeDocument };
+
+    async function writeDocument(version: number, change?: (document: WireDocument) => void): Promise<void> {
+        const document = buildDocument(version);
+        change?.(document);
+        await writeKey("op/config", JSON.stringify(document));
+    }
+
+    function writeEndpoint(index: number, state = "ready"): Promise<void> {
+        const address = `${ADDRESS}:${endpoints[index]?.port ?? 0}`;
+        return writeKey(
+            `servers/i-${index}`,
+            JSON.stringify({ service: "app", address, zone: "a", version: "v1", slots: 8, state, sequence: 1 }),
+        );
+    }
+
+    async function writeKey(key: string, value: string): Promise<void> {
+        const current = await store.getEntry(key);
+        await store.swapEntry({ key, expectedRevision: current?.revision ?? 0, value });
+    }
+}
+
+async function waitUntilReady(port: number): Promise<void> {
+    for (let tries = 0; tries < READY_TRIES; tries++) {
+        if ((await readStatus(port)) === 200) {
+            return;
+        }
+        await waitFor(POLL_MS);
+    }
+    throw new Error("the router did not become ready");
+}
+
+/** Asks for readiness, as the balancer does. */
+export function readStatus(port: number): Promise<number> {
+    return new Promise(resolve => {
+        const request = http.get({ host: ADDRESS, port, path: "/readyz", agent: false }, response => {
+            response.resume();
+            resolve(response.statusCode ?? 0);
+        });
+        request.on("error", () => resolve(0));
+    });
+}
+
+/** Options of a caller's request. */
+export interface CallOptions {
+    method?: string;
+    path: string;
+    headers?: Record<string, string>;
+    body?: string;
+    /** Ends the call from the caller's side. */
+    signal?: AbortSignal;
+    agent?: http.Agent;
+}
+
+/** Sends a caller's request and collects what comes. */
+export function callRouter(system: DirectSystem, options: CallOptions): Promise<CallerAnswer> {
+    return new Promise((resolve, reject) => {
+        const request = http.request({
+            host: ADDRESS,
+            port: system.port,
+            method: options.method ?? "GET",
+            path: options.path,
+            agent: options.agent ?? false,
+            signal: options.signal,
+            headers: {
+                host: HOST,
+                "attempt-id": "a-1",
+                "deadline-ms": "2000",
+                "x-api-key": TEAM_KEY,
+                ...options.headers,
+            },
+        });
+        request.on("error", reject);
+        request.on("response", response => {
+            let body = "";
+            response.setEncoding("utf8");
+            response.on("data", (chunk: string) => (body += chunk));
+            response.on("error", () => undefined);
+            response.on("close", () => {
+                const { statusCode: status = 0, headers, complete: isWhole } = response;
+                resolve({ status, headers, body, isWhole });
+            });
+        });
+        request.end(options.body);
+    });
+}
--- a/tests/groups/ordered/mapFaultsTests.ts
+++ b/tests/groups/ordered/mapFaultsTests.ts
@@ -177,7 +177,15 @@
 ): Promise<World & { coordinators: number; longestWait: number }> {
     const random = createRandom(seed);
     const group = createOrderedGroup({ ranks: RANKS, layerSets: LAYER_SETS, experts: EXPERTS, copyTicks: 4 });
-    const world: World = { group, random, tick: 0, late: [], terms: new Array<number>(RANKS).fill(0), lossShare, planted };
+    const world: World = {
+        group,
+        random,
+        tick: 0,
+        late: [],
+        terms: new Array<number>(RANKS).fill(0),
+        lossShare,
+        planted,
+    };
     let active: Coordinator[] = [createCoordinator(world, 1)];
     let coordinators = 1;
     let longestWait = 0;
--- /dev/null
+++ b/tests/platform/prefixWatcherTests.ts
@@ -0,0 +1,77 @@
+import t from "tap";
+import { ErrorCode, createError } from "../../src/errors/index.js";
+import { type KeyValueEntry, type WatchAnswer, startPrefixWatcher } from "../../src/platform/index.js";
+import { waitFor } from "../../src/utils/time.js";
+import { type KeyValueStore, createKeyValueStore } from "../../standins/platform/KeyValueStore.js";
+
+const WAIT_MS = 60_000;
+const SETTLE_MS = 30;
+
+function startRecorder(store: KeyValueStore) {
+    const seen: string[] = [];
+    const watcher = startPrefixWatcher({
+        service: store,
+        prefix: "a/",
+        waitMs: WAIT_MS,
+        periodMs: 0,
+        listener: {
+            onListing: entries => seen.push(`listed ${entries.map(entry => entry.value).join(" ")}`),
+            onChanged: (entry: KeyValueEntry) => seen.push(`changed ${entry.value}`),
+            onDeleted: key => seen.push(`deleted ${key}`),
+            onAnswer: () => undefined,
+            onFailure: () => seen.push("failed"),
+        },
+    });
+    return { seen, watcher };
+}
+
+t.test("changes after the listing are told once, in order", async t => {
+    const store = createKeyValueStore();
+    await store.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    const { seen, watcher } = startRecorder(store);
+    await waitFor(SETTLE_MS);
+    await store.swapEntry({ key: "a/2", expectedRevision: 0, value: "two" });
+    await waitFor(SETTLE_MS);
+    await store.swapEntry({ key: "a/1", expectedRevision: 1, value: undefined });
+    await waitFor(SETTLE_MS);
+    await watcher.stop();
+    t.strictSame(seen, ["listed one", "changed two", "deleted a/1"]);
+});
+
+t.test("a history that is lost is followed by a listing at once", async t => {
+    const store = createKeyValueStore();
+    let isLost = true;
+    const watch = store.watchEntries.bind(store);
+    store.watchEntries = (prefix, revision, waitMs, signal): Promise<WatchAnswer> => {
+        if (isLost) {
+            isLost = false;
+            return Promise.reject(createError({ code: ErrorCode.HistoryLost, expected: "changes", got: "none" }));
+        }
+        return watch(prefix, revision, waitMs, signal);
+    };
+    const { seen, watcher } = startRecorder(store);
+    await waitFor(SETTLE_MS);
+    await watcher.stop();
+    t.strictSame(seen, ["listed ", "listed "]);
+});
+
+t.test("a watch that hangs on a dead connection is given up on a restart", async t => {
+    const store = createKeyValueStore();
+    let hangs = 0;
+    const watch = store.watchEntries.bind(store);
+    store.watchEntries = (prefix, revision, waitMs, signal): Promise<WatchAnswer> => {
+        hangs++;
+        return hangs === 1
+            ? new Promise((resolve, reject) => signal?.addEventListener("abort", () => reject(new Error("aborted"))))
+            : watch(prefix, revision, waitMs, signal);
+    };
+    const { seen, watcher } = startRecorder(store);
+    await waitFor(SETTLE_MS);
+    await store.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    await waitFor(SETTLE_MS);
+    t.strictSame(seen, ["listed "], "the dead watch tells nothing");
+    watcher.restart();
+    await waitFor(SETTLE_MS);
+    await watcher.stop();
+    t.strictSame(seen, ["listed ", "listed one"]);
+});
