Refuse at once while a service is out, and let late requests wait behind those in time

Ruled out: holding requests until the group is back (callers are late in any case, and their patience is spent). Change: OutageWatch (probes go on, callers come back as late as they will); urgency for the endpoint's queue by team, then route, then lateness; changes of maps by how busy the group is, with fewer copies.

--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -63,6 +63,11 @@
         lastFailure: undefined,
     };
     const digest = createLazyDigest(exchange);
+    const now = readMonotonicMs();
+    const outageMs = context.outages.checkRequest(exchange.service, exchange.deadlineAt - now, now);
+    if (outageMs !== undefined) {
+        return createRefusal(state, Cause.NoEndpoint, "no endpoint of the service takes work", outageMs);
+    }
     for (;;) {
         if (!context.suspects.isEmpty() && context.suspects.getLosses(digest()) >= MAX_LOSSES) {
             return createRefusal(state, Cause.CrashSuspected, "endpoints were lost under this request", undefined);
@@ -80,11 +85,20 @@
         }
         const refusal = checkFurtherSend(exchange, context, state, end);
         if (refusal !== undefined) {
-            return relay.sendKeptFailure() ? undefined : refusal;
+            return relay.sendKeptFailure() ? undefined : prolongDuringOutage(refusal, exchange, context);
         }
     }
 }
 
+/** A refusal during an outage asks the caller to come back when the service is likely to be there again. */
+function prolongDuringOutage(refusal: Refusal, exchange: RoutedExchange, context: DirectContext): Refusal {
+    const now = readMonotonicMs();
+    const outageMs = context.outages.getDelay(exchange.service, exchange.deadlineAt - now, now);
+    return refusal.retryAfterMs === undefined || outageMs === undefined
+        ? refusal
+        : { ...refusal, retryAfterMs: outageMs };
+}
+
 function findEndpoint(exchange: RoutedExchange, context: DirectContext, state: LoopState): EndpointRecord | undefined {
     return chooseEndpoint(context.directory.listServing(exchange.service), {
         zone: context.zone,
@@ -149,6 +163,7 @@
     if (!failed.mayHaveRun) {
         state.unreachable++;
         if (failed.failure === CallFailure.Unreachable) {
+            context.outages.recordTurnedAway(endpoint.service, endpoint.id, readMonotonicMs());
             context.health.recordUnreachable(endpoint.id, readMonotonicMs());
         }
         return SendEnd.Unreachable;
@@ -173,6 +188,7 @@
     state.lastFailure = undefined;
     if (answer.isNotRun) {
         answer.response.destroy();
+        context.outages.recordTurnedAway(endpoint.service, endpoint.id, readMonotonicMs());
         return SendEnd.NotRun;
     }
     if (isPromiseStatus(answer.status)) {
@@ -182,6 +198,7 @@
         context.health.recordFailure(endpoint.id, readMonotonicMs());
         return SendEnd.Broken;
     }
+    context.outages.recordTaken(endpoint.service);
     const isLast = !canRepeat(exchange) || state.sends >= exchange.route.maxAttempts;
     const end = await relay.relayAnswer(answer, isLast);
     if (end === RelayEnd.Whole) {
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -126,7 +126,7 @@
         const announced = Number(getHeader(request.headers, options.names.deadline) ?? DEFAULT_DEADLINE_MS);
         const patienceMs = Number.isFinite(announced) && announced > 0 ? announced : DEFAULT_DEADLINE_MS;
         const id = getHeader(request.headers, options.names.attempt) ?? "";
-        const exchange = createDirectExchange({ request, response, index, id });
+        const exchange = createDirectExchange({ request, response, index, id, patienceMs });
         exchange.shortenDeadline(exchange.arrivedAt + Math.max(1, patienceMs - ANSWER_MARGIN_MS));
         response.on("close", () => {
             if (!response.writableFinished) {
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -1,4 +1,4 @@
-import type { SuspectTable } from "../scheduling/index.js";
+import type { OutageWatch, SuspectTable } from "../scheduling/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
@@ -16,6 +16,7 @@
     health: EndpointHealth;
     retries: RetryShare;
     suspects: SuspectTable;
+    outages: OutageWatch;
     logger: Logger;
     /** Random number from 0 to 1. */
     drawRandom: () => number;
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -23,9 +23,13 @@
     readonly index: RouteIndex;
     /** Monotonic time of arrival, in milliseconds. */
     readonly arrivedAt: number;
+    /** Time that the caller would wait at arrival, in milliseconds. */
+    readonly patienceMs: number;
     /** Monotonic time at which nobody waits any more, in milliseconds. */
     readonly deadlineAt: number;
     route: RouteStructure | undefined;
+    /** Time that the caller has waited in earlier attempts, as far as it can be told, in milliseconds. */
+    waitedBeforeMs: number;
     service: string;
     team: TeamKeys | undefined;
     body: Buffer;
@@ -49,7 +53,7 @@
 }
 
 /** Parts that an exchange begins with. */
-export type DirectExchangeOptions = Pick<DirectExchange, "request" | "response" | "index" | "id">;
+export type DirectExchangeOptions = Pick<DirectExchange, "request" | "response" | "index" | "id" | "patienceMs">;
 
 /**
  * Creates an exchange without a deadline.
@@ -66,6 +70,7 @@
             return deadlineAt;
         },
         route: undefined,
+        waitedBeforeMs: 0,
         service: "",
         team: undefined,
         body: Buffer.alloc(0),
--- a/src/direct/buildEndpointHeaders.ts
+++ b/src/direct/buildEndpointHeaders.ts
@@ -6,6 +6,8 @@
 import type { HeaderNames } from "./HeaderNames.js";
 
 const LEAST_URGENT = 9;
+/** Added to the urgency of a request that can't be answered in time any more: requests that can go first. */
+const LATE_STEP = 5;
 
 /**
  * Builds the headers of a send: the caller's own, and those that the router sets whatever the caller sent.
@@ -32,7 +34,7 @@
     headers.host = request.headers.host;
     headers[names.deadline] = String(leftMs);
     headers[names.expectedEndpoint] = endpoint.id;
-    headers[names.urgency] = String(Math.min(LEAST_URGENT, Math.max(0, getUrgency(exchange))));
+    headers[names.urgency] = String(computeQueueUrgency(exchange));
     if (exchange.team !== undefined) {
         headers[names.team] = exchange.team.name;
     }
@@ -43,3 +45,15 @@
     }
     return { ...headers, ...more };
 }
+
+/** Computes the urgency for the endpoint's queue, 0 to 9. */
+function computeQueueUrgency(exchange: RoutedExchange): number {
+    const late = isLate(exchange) ? LATE_STEP : 0;
+    return Math.min(LEAST_URGENT, exchange.index.getUrgencyLevel(getUrgency(exchange), exchange.route.urgency) + late);
+}
+
+/** Tells whether the time in which an answer is worth most is over, counted from the caller's first attempt. */
+function isLate(exchange: RoutedExchange): boolean {
+    const waitedMs = exchange.waitedBeforeMs + readMonotonicMs() - exchange.arrivedAt;
+    return waitedMs > exchange.route.targetMs;
+}
--- a/src/direct/filters/findRoute.ts
+++ b/src/direct/filters/findRoute.ts
@@ -1,6 +1,7 @@
 import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
 import type { Filter } from "../../router/pipeline.js";
 import type { DirectExchange } from "../DirectExchange.js";
+import { createPatienceTracker } from "../PatienceTracker.js";
 import type { RouteStructure, ServiceShare } from "../RoutingDocument.js";
 
 /** Options of the filter. */
@@ -20,6 +21,7 @@
  * @param options - State of the document.
  */
 export function createFindRoute(options: FindRouteOptions): Filter<DirectExchange> {
+    const patience = createPatienceTracker();
     return exchange => {
         const { request, index } = exchange;
         const route = index.findRoute(request.headers.host ?? "", request.url ?? "/");
@@ -27,6 +29,7 @@
             return options.isOutdated() ? createOutdated() : createUnknownRoute();
         }
         exchange.route = route;
+        exchange.waitedBeforeMs = patience.recordPatience(route.name, exchange.patienceMs);
         exchange.service = pickService(route, options.drawRandom());
         exchange.shortenDeadline(exchange.arrivedAt + route.timeoutMs);
         return undefined;
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -3,7 +3,7 @@
 import { startPeerNews } from "../peers/index.js";
 import type { KeyValueService } from "../platform/index.js";
 import { createReadBody } from "../router/filters/readBody.js";
-import { createSuspectTable } from "../scheduling/index.js";
+import { createOutageWatch, createSuspectTable } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { listenOn } from "../utils/http.js";
 import type { RunningProgram } from "../utils/program.js";
@@ -43,7 +43,7 @@
 /** Time that open calls of the process's own get to end, in milliseconds. */
 const CLOSE_MS = 200;
 /** Routers assumed to share the retry budget until more are known; errs low after a start alone. */
-const LEAST_ROUTERS = 16;
+const LEAST_ROUTERS = 8;
 
 /**
  * Starts a router that sends requests straight to endpoints, without agents beside them.
@@ -74,6 +74,7 @@
             getRouters: () => Math.max(LEAST_ROUTERS, news.countRouters()),
         }),
         suspects,
+        outages: createOutageWatch(),
         logger,
         drawRandom: Math.random,
     };
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -9,6 +9,8 @@
 
 /** Layout of the experts in a group. */
 export interface GroupLayout {
+    /** Requests in one batch of a rank. */
+    slots: number;
     layerSets: number;
     experts: number;
     placements: number;
@@ -35,10 +37,14 @@
 const LOAD_TIME_MS = 600;
 /** Choices of experts, by set, below which the loads are too noisy for a change. */
 const LEAST_WEIGHT = 20_000;
-/** Fall of the most loaded rank's load, in means of all ranks, from which a change pays. */
-const LEAST_GAIN = 0.12;
+/** Fall of the most loaded rank's load, in means of all ranks, from which a change pays: while work waits, and else. */
+const LEAST_GAIN_BUSY = 0.12;
+const LEAST_GAIN_IDLE = 0.3;
+/** Requests at a rank, as a part of its slots, from which its group counts as busy. */
+const BUSY_PART = 0.7;
 /** Part of the objective that a copied expert must bring; keeps copies of cold experts out. */
-const GAIN_PER_COPY = 0.003;
+const GAIN_PER_COPY_BUSY = 0.015;
+const GAIN_PER_COPY_IDLE = 0.04;
 const PREPARE_MS = 3_000;
 const SWITCH_MS = 1_500;
 const POLL_MS = 25;
@@ -69,11 +75,6 @@
         leadPasses: LEAD_PASSES,
         isLeader: options.isLeader,
     });
-    const limits: PlanLimits = {
-        placements: layout.placements,
-        reserve: layout.reserve,
-        leastGainPerCopy: GAIN_PER_COPY,
-    };
     let epoch: number | undefined;
     let map: ExpertMap | undefined;
     let mapVersion = 0;
@@ -152,12 +153,19 @@
         const current = map;
         const expertLoads = loads.getLoads(now);
         const ratio = computeMean(current.map((ofSet, set) => computeSetRatio(ofSet, expertLoads[set] ?? [])));
-        if (ratio < 1 + LEAST_GAIN) {
+        const isBusy = isGroupBusy(reports);
+        const leastGain = isBusy ? LEAST_GAIN_BUSY : LEAST_GAIN_IDLE;
+        if (ratio < 1 + leastGain) {
             return;
         }
+        const limits: PlanLimits = {
+            placements: layout.placements,
+            reserve: layout.reserve,
+            leastGainPerCopy: isBusy ? GAIN_PER_COPY_BUSY : GAIN_PER_COPY_IDLE,
+        };
         const plans = current.map((ofSet, set) => planSet(ofSet, expertLoads[set] ?? [], limits));
         const planned = computeMean(plans.map(plan => plan.after));
-        if (ratio - planned < LEAST_GAIN) {
+        if (ratio - planned < leastGain) {
             return;
         }
         const next = plans.map(plan => plan.experts);
@@ -174,11 +182,17 @@
             loadAfter: Number(planned.toFixed(3)),
             copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
             planMs,
+            isBusy,
             tookMs: Math.round(readMonotonicMs() - now),
         });
         isSettled = result.end !== ChangeEnd.Unsettled;
     }
 
+    function isGroupBusy(reports: readonly RankReport[]): boolean {
+        const requests = reports.reduce((sum, report) => sum + report.running + report.queued, 0);
+        return requests > BUSY_PART * layout.slots * reports.length;
+    }
+
     function getNextVersion(reports: readonly RankReport[]): number {
         const seen = reports.flatMap(report => [
             report.mapVersion,
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -159,7 +159,8 @@
             platform.service.listSnapshot(platform.codec.endpointPrefix, { isStaleAllowed: true }),
             readDocument(),
         ]);
-        const layout = document?.services.find(service => service.name === settings.service)?.engine?.experts;
+        const engine = document?.services.find(service => service.name === settings.service)?.engine;
+        const layout = engine?.experts && { ...engine.experts, slots: engine.slots };
         const addresses = new Map<number, string>();
         for (const entry of entries.entries) {
             const decoded = platform.codec.decodeEndpoint(entry);
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -7,3 +7,4 @@
 export * from "./RetryBudget.js";
 export * from "./SuspectTable.js";
 export * from "./TeamUsage.js";
+export * from "./OutageWatch.js";
--- /dev/null
+++ b/tests/direct/decisionsTests.ts
@@ -0,0 +1,198 @@
+import fc from "fast-check";
+import t from "tap";
+import { DirectoryChange, createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
+import { createEndpointHealth } from "../../src/direct/EndpointHealth.js";
+import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
+import { createEventSplitter } from "../../src/direct/EventSplitter.js";
+import { createLoadBoard } from "../../src/direct/LoadBoard.js";
+import { createPatienceTracker } from "../../src/direct/PatienceTracker.js";
+import { createRetryShare } from "../../src/direct/RetryShare.js";
+import { createRouteIndex } from "../../src/direct/RouteIndex.js";
+import { createRouteIndexHolder } from "../../src/direct/RouteIndexHolder.js";
+import { RouteKind, type RouteStructure, type RoutingDocument } from "../../src/direct/RoutingDocument.js";
+import { chooseEndpoint } from "../../src/direct/chooseEndpoint.js";
+
+function buildRecord(id: string, change: Partial<EndpointRecord> = {}): EndpointRecord {
+    const base = { id, service: "app", host: "127.0.0.1", port: 1, zone: "a", slots: 8, isLeaving: false, bornAt: 1 };
+    return { ...base, group: undefined, ...change };
+}
+
+function buildRoute(pathPrefix: string, change: Partial<RouteStructure> = {}): RouteStructure {
+    return {
+        name: pathPrefix,
+        host: "shop.example",
+        pathPrefix,
+        kind: RouteKind.Idempotent,
+        timeoutMs: 1_000,
+        targetMs: 100,
+        urgency: 0,
+        shares: [{ service: "app", weight: 1 }],
+        maxAttempts: 2,
+        isPublic: false,
+        isResumable: false,
+        maxPauseMs: 0,
+        ...change,
+    };
+}
+
+function buildRouting(version: number, change: Partial<RoutingDocument> = {}): RoutingDocument {
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return { version, routes: [], services: [], limits, teams: undefined, ...change };
+}
+
+t.test("the longest prefix of a path selects the route", t => {
+    const index = createRouteIndex(
+        buildRouting(1, { routes: ["/", "/a/", "/a/b/"].map(prefix => buildRoute(prefix)) }),
+    );
+    const found = ["/a/b/c", "/a/b", "/a/x?y=/a/b/", "/x", "/a"].map(
+        path => index.findRoute("Shop.example:80", path)?.name,
+    );
+    t.strictSame(found, ["/a/b/", "/a/", "/a/", "/", "/"]);
+    t.equal(index.findRoute("other.example", "/a/"), undefined);
+    t.end();
+});
+
+t.test("urgency goes by the team first and by the route next", t => {
+    const routes = [buildRoute("/0/"), buildRoute("/1/", { urgency: 1 }), buildRoute("/2/", { urgency: 2 })];
+    const teams = [{ name: "one", keys: [], urgency: 1 }];
+    const index = createRouteIndex(buildRouting(1, { routes, teams }));
+    t.strictSame(
+        [0, 1, 2].map(urgency => index.getUrgencyLevel(1, urgency)),
+        [0, 1, 2],
+    );
+    t.end();
+});
+
+t.test("versions never go back", t => {
+    const applied: number[] = [];
+    const holder = createRouteIndexHolder(document => applied.push(document.version));
+    [3, 2, 3, 7, 6].forEach(version => holder.offerDocument(buildRouting(version), "test"));
+    t.strictSame(applied, [3, 7]);
+    t.end();
+});
+
+t.test("an entry that lapses while the store is away stays for a time, and a leaving one goes at once", t => {
+    const changes: string[] = [];
+    const directory = createEndpointDirectory({
+        lapseGraceMs: 2_000,
+        onChange: (change, record) => changes.push(`${record.id} ${change}`),
+    });
+    directory.applyListing([buildRecord("1"), buildRecord("2"), buildRecord("3")], 0);
+    directory.recordStoreFailure(1_000);
+    directory.applyRecord(buildRecord("3", { isLeaving: true }), 1_100);
+    directory.applyListing([], 1_200);
+    t.strictSame(
+        directory.listServing("app").map(record => record.id),
+        ["1", "2"],
+    );
+    directory.applyRecord(buildRecord("1"), 2_000);
+    directory.expireLapsed(3_300);
+    t.strictSame(
+        directory.listServing("app").map(record => record.id),
+        ["1"],
+    );
+    directory.removeRecord("1", 9_000);
+    t.strictSame(directory.listServing("app"), []);
+    t.equal(changes.at(-1), `1 ${DirectoryChange.Removed}`);
+    t.end();
+});
+
+t.test("an endpoint that starts again under its identifier is told", t => {
+    const changes: DirectoryChange[] = [];
+    const directory = createEndpointDirectory({ lapseGraceMs: 1, onChange: change => changes.push(change) });
+    directory.applyRecord(buildRecord("1"), 0);
+    directory.applyRecord(buildRecord("1", { bornAt: 2 }), 0);
+    t.strictSame(changes, [DirectoryChange.Added, DirectoryChange.Restarted]);
+    t.end();
+});
+
+t.test("the endpoint with the least load over all routers is chosen; failing and unreachable ones go last", t => {
+    const load = createLoadBoard();
+    const health = createEndpointHealth();
+    const choose = (tried: string[] = []): string | undefined =>
+        chooseEndpoint(
+            ["1", "2", "3"].map(id => buildRecord(id)),
+            {
+                zone: "a",
+                load,
+                health,
+                now: 1_000,
+                tried: new Set(tried),
+                drawRandom: () => 0.5,
+            },
+        )?.id;
+    load.startRequest("1");
+    load.setPeerLoad("peer", { 2: 3 }, 900);
+    t.equal(choose(), "3");
+    health.recordUnreachable("3", 900);
+    t.equal(choose(), "1");
+    for (let failure = 0; failure < 10; failure++) {
+        health.recordFailure("1", 1_000);
+    }
+    t.equal(choose(), "2");
+    t.equal(choose(["1", "2"]), "3", "an unreachable one is better than none");
+    t.equal(choose(["1", "2", "3"]), undefined);
+    t.end();
+});
+
+t.test("counts of a peer that fell silent are no longer used", t => {
+    const load = createLoadBoard();
+    load.setPeerLoad("peer", { 1: 5 }, 0);
+    t.equal(load.getLoad("1", 1_000), 5);
+    t.equal(load.getLoad("1", 2_000), 0);
+    t.end();
+});
+
+t.test("the shares of all routers keep the second sends of a window within the allowance, across a restart", t => {
+    t.clock.enter();
+    const allowance = { ratio: 0.2, burst: 92, windowMs: 10_000 };
+    const routers = 8;
+    const requestsEach = 50;
+    let retries = 0;
+    for (let life = 0; life < 2; life++) {
+        for (let router = 0; router < routers; router++) {
+            const share = createRetryShare({ ...allowance, getRouters: () => routers });
+            for (let request = 0; request < requestsEach; request++) {
+                share.recordRequest("app");
+                retries += share.takeRetry("app") ? 1 : 0;
+            }
+        }
+    }
+    t.ok(retries <= allowance.ratio * 2 * routers * requestsEach + allowance.burst, `${retries} second sends`);
+    t.ok(retries > 0);
+    t.end();
+});
+
+t.test("the time that a caller has waited before is told from its patience", t => {
+    const patience = createPatienceTracker();
+    t.equal(patience.recordPatience("r", 8_000), 0);
+    t.ok(Math.abs(patience.recordPatience("r", 5_000) - 3_000) < 100);
+    t.equal(patience.recordPatience("other", 5_000), 0);
+    t.end();
+});
+
+t.test("events pass whole, whatever the pieces in which they come", t => {
+    const event = fc
+        .record({ id: fc.nat(), data: fc.stringMatching(/^[a-z ]{0,30}$/) })
+        .map(({ id, data }) => `id: ${id}\ndata: ${data}\n\n`);
+    fc.assert(
+        fc.property(fc.array(event, { maxLength: 8 }), fc.array(fc.integer({ min: 1, max: 20 })), (events, sizes) => {
+            const text = events.join("");
+            const splitter = createEventSplitter();
+            let passed = "";
+            let count = 0;
+            let lastId: string | undefined;
+            for (let at = 0, piece = 0; at < text.length; piece++) {
+                const size = sizes[piece % Math.max(1, sizes.length)] ?? 7;
+                const split = splitter.takeChunk(Buffer.from(text.slice(at, at + size)));
+                passed += split.bytes.toString();
+                count += split.count;
+                lastId = split.lastId ?? lastId;
+                at += size;
+            }
+            const expectedId = /id: (\d+)/.exec(events.at(-1) ?? "")?.[1];
+            return passed === text && count === events.length && lastId === expectedId;
+        }),
+    );
+    t.end();
+});
--- a/tests/groups/ordered/mapFaultsTests.ts
+++ b/tests/groups/ordered/mapFaultsTests.ts
@@ -50,7 +50,7 @@
 const EXPERTS = 6;
 const TICK_MS = 10;
 const MAX_LATE_TICKS = 120;
-const LAYOUT = { layerSets: LAYER_SETS, experts: EXPERTS, placements: 3, reserve: 2 };
+const LAYOUT = { slots: 1, layerSets: LAYER_SETS, experts: EXPERTS, placements: 3, reserve: 2 };
 const SILENT_LOGGER = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
 
 /** Gives the tasks that wait for promises a chance to run. */
