--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -1,11 +1,11 @@
 import { EventId } from "../../telemetry/EventId.js";
 import type { Logger } from "../../telemetry/logger.js";
-import { readMonotonicMs } from "../../utils/time.js";
+import { readMonotonicMs, waitFor } from "../../utils/time.js";
 import type { AgentRankLink } from "./AgentRankLink.js";
 import { type ExpertLoads, createExpertLoads } from "./ExpertLoads.js";
 import { ChangeEnd, computeQuietPasses, createMapChanger } from "./MapChange.js";
 import type { ExpertMap, RankCounts, RankReport } from "./RankReport.js";
-import { type PlanLimits, computeSetRatio, planSet } from "./planMap.js";
+import { type PlanLimits, type SetPlan, computeSetRatio, planSet } from "./planMap.js";
 
 /** Layout of the experts in a group. */
 export interface GroupLayout {
@@ -54,10 +54,15 @@
 const VERSION_PERIOD_MS = 100;
 const VERSION_START = 17_000_000_000;
 
-/** Look at all ranks of a group in the same epoch. */
+/** Numbers that are read in one round, some 60 KB: of groups with many experts only some ranks are sampled. */
+const COUNTS_PER_ROUND = 16_384;
+/** Rounds in which the same ranks are sampled; counts since a rank's last sample should be recent ones. */
+const ROUNDS_PER_SAMPLE = 20;
+
+/** Look at all ranks of a group in the same epoch, with the counts of some. */
 interface GroupLook {
     reports: RankReport[];
-    counts: RankCounts[];
+    counts: { rank: number; counts: RankCounts }[];
 }
 
 /**
@@ -79,6 +84,7 @@
     let map: ExpertMap | undefined;
     let mapVersion = 0;
     let lastVersion = 0;
+    let rounds = 0;
     /** A new coordinator fences its predecessors before it changes anything. */
     let isSettled = false;
     /** First pass after which a change may be made. */
@@ -112,14 +118,35 @@
     }
 
     async function lookAtAll(): Promise<GroupLook | undefined> {
-        const looks = await Promise.all(links.map(link => link.look().catch(() => undefined)));
-        const known = looks.filter(look => look !== undefined);
-        const first = known[0]?.report.epoch;
+        const sampled = chooseSampled();
+        const looks = await Promise.all(links.map((link, rank) => lookAt(link, sampled.has(rank))));
+        const reports = looks.flatMap(look => (look === undefined ? [] : [look.report]));
+        const first = reports[0]?.epoch;
         const isWhole =
-            known.length === links.length && known.every(look => look.report.isOpen && look.report.epoch === first);
-        return isWhole
-            ? { reports: known.map(look => look.report), counts: known.map(look => look.counts) }
-            : undefined;
+            reports.length === links.length && reports.every(report => report.isOpen && report.epoch === first);
+        const counts = looks.flatMap((look, rank) =>
+            look?.counts === undefined ? [] : [{ rank, counts: look.counts }],
+        );
+        return isWhole ? { reports, counts } : undefined;
+    }
+
+    async function lookAt(
+        link: AgentRankLink,
+        hasCounts: boolean,
+    ): Promise<{ report: RankReport; counts: RankCounts | undefined } | undefined> {
+        try {
+            return hasCounts ? await link.look() : { report: await link.readReport(), counts: undefined };
+        } catch {
+            // The group counts as incomplete in this round; a rank that stays silent shows in the group's state.
+            return undefined;
+        }
+    }
+
+    function chooseSampled(): Set<number> {
+        const perRound = Math.max(1, Math.floor(COUNTS_PER_ROUND / (layout.layerSets * layout.experts)));
+        const count = Math.min(links.length, perRound);
+        const first = Math.floor(rounds++ / ROUNDS_PER_SAMPLE) * count;
+        return new Set(Array.from({ length: count }, (unused, offset) => (first + offset) % links.length));
     }
 
     async function readMap(look: GroupLook, version: number): Promise<void> {
@@ -142,7 +169,7 @@
 
     function learn(look: GroupLook): void {
         const now = readMonotonicMs();
-        look.counts.forEach((counts, rank) => loads.recordCounts(rank, counts, now));
+        look.counts.forEach(({ rank, counts }) => loads.recordCounts(rank, counts, now));
     }
 
     async function changeIfBetter(reports: readonly RankReport[]): Promise<void> {
@@ -163,7 +190,12 @@
             reserve: layout.reserve,
             leastGainPerCopy: isBusy ? GAIN_PER_COPY_BUSY : GAIN_PER_COPY_IDLE,
         };
-        const plans = current.map((ofSet, set) => planSet(ofSet, expertLoads[set] ?? [], limits));
+        const plans: SetPlan[] = [];
+        for (const [set, ofSet] of current.entries()) {
+            plans.push(planSet(ofSet, expertLoads[set] ?? [], limits));
+            // Looks and orders of other coordinators are answered between two sets.
+            await waitFor(0);
+        }
         const planned = computeMean(plans.map(plan => plan.after));
         if (ratio - planned < leastGain) {
             return;
--- /dev/null
+++ b/src/groups/ordered/SetSearch.ts
@@ -0,0 +1,244 @@
+import type { PlanLimits } from "./planMap.js";
+
+/** Search for a better placement of one set's experts. */
+export interface SetSearch {
+    /** Makes the small change that pays most; false if none pays. */
+    applyBestMove(): boolean;
+    /** Gets the load of the most loaded rank over the mean. */
+    getRatio(): number;
+    listExperts(): number[][];
+    /** Counts the experts that are new to a rank. */
+    countCopies(): number;
+}
+
+/** A small change: an expert comes to a rank, and others may leave their ranks for it. */
+interface Move {
+    /** Expert that leaves `from`, comes to `to`, or both. */
+    expert: number;
+    from: number;
+    to: number;
+    /** The expert leaves `from`. */
+    isLeaving: boolean;
+    /** The expert comes to `to`. */
+    isComing: boolean;
+    /** Expert that leaves `to`; -1 for none. */
+    other: number;
+    /** The other expert comes to `from`. */
+    isSwap: boolean;
+}
+
+/** Most loaded ranks from which experts are moved in one look, and least loaded ranks that take them. */
+const HEAVY_RANKS = 3;
+const LIGHT_RANKS = 8;
+/** Part of the objective below which a gain is not worth a move. */
+const LEAST_GAIN = 1e-4;
+
+/**
+ * Creates a search. The objective is the sum of the eighth powers of the ranks' loads over the mean: the most loaded
+ * ranks decide, and the others still give a direction.
+ * @param current - Experts by rank.
+ * @param expertLoads - Load of each expert.
+ * @param limits - Bounds of the change.
+ */
+export function createSetSearch(
+    current: readonly (readonly number[])[],
+    expertLoads: readonly number[],
+    limits: PlanLimits,
+): SetSearch {
+    const size = current.length;
+    const total = expertLoads.reduce((sum, load) => sum + load, 0);
+    const perMean = total === 0 ? 0 : size / total;
+    const experts = current.map(ofRank => [...ofRank]);
+    const originals = current.map(ofRank => new Set(ofRank));
+    const holders: number[][] = expertLoads.map(() => []);
+    experts.forEach((ofRank, rank) => ofRank.forEach(expert => holders[expert]?.push(rank)));
+    const loads = new Float64Array(size);
+    holders.forEach((ranks, expert) => ranks.forEach(rank => addTo(loads, rank, getShare(expert, ranks.length))));
+    const copies = new Int32Array(size);
+    const deltas = new Float64Array(size);
+    const touched: number[] = [];
+    return {
+        applyBestMove,
+        getRatio: () => (perMean === 0 ? 1 : Math.max(...loads) * perMean),
+        listExperts: () => experts.map(ofRank => [...ofRank].sort((left, right) => left - right)),
+        countCopies: () => copies.reduce((sum, count) => sum + count, 0),
+    };
+
+    function getShare(expert: number, replicas: number): number {
+        return replicas === 0 ? 0 : (expertLoads[expert] ?? 0) / replicas;
+    }
+
+    function getReplicas(expert: number): number {
+        return holders[expert]?.length ?? 0;
+    }
+
+    function hasExpert(rank: number, expert: number): boolean {
+        return experts[rank]?.includes(expert) === true;
+    }
+
+    function isNew(rank: number, expert: number): boolean {
+        return originals[rank]?.has(expert) === false;
+    }
+
+    function canTake(rank: number, expert: number): boolean {
+        return !hasExpert(rank, expert) && (!isNew(rank, expert) || (copies[rank] ?? 0) < limits.reserve);
+    }
+
+    function applyBestMove(): boolean {
+        if (perMean === 0) {
+            return false;
+        }
+        const objective = loads.reduce((sum, load) => sum + computeCost(load), 0);
+        const order = [...loads.keys()].sort((left, right) => (loads[right] ?? 0) - (loads[left] ?? 0));
+        const light = order.slice(-LIGHT_RANKS).reverse();
+        let best: Move | undefined;
+        let bestGain = LEAST_GAIN * objective;
+        for (const from of order.slice(0, HEAVY_RANKS)) {
+            scanMoves(from, light, move => {
+                const gain = computeGain(move) - limits.leastGainPerCopy * objective * countNew(move);
+                if (gain > bestGain) {
+                    best = { ...move };
+                    bestGain = gain;
+                }
+            });
+        }
+        if (best === undefined) {
+            return false;
+        }
+        applyMove(best);
+        return true;
+    }
+
+    /** Goes through the changes that take load from a rank. The same object is used for each. */
+    function scanMoves(from: number, light: readonly number[], visit: (move: Move) => void): void {
+        const move: Move = { expert: 0, from, to: 0, isLeaving: true, isComing: false, other: -1, isSwap: false };
+        for (const expert of experts[from] ?? []) {
+            move.expert = expert;
+            if (getReplicas(expert) > 1) {
+                offerMove(move, visit, { isLeaving: true, isComing: false });
+            }
+            for (const to of light) {
+                if (to !== from && canTake(to, expert)) {
+                    move.to = to;
+                    scanTransfers(move, visit);
+                }
+            }
+        }
+    }
+
+    /** Ways in which an expert of one rank comes to another one as well, or in its place. */
+    function scanTransfers(move: Move, visit: (move: Move) => void): void {
+        const ofTarget = experts[move.to] ?? [];
+        if (ofTarget.length < limits.placements) {
+            offerMove(move, visit, { isLeaving: false, isComing: true });
+            offerMove(move, visit, { isLeaving: true, isComing: true });
+        }
+        for (const other of ofTarget) {
+            if (getReplicas(other) > 1) {
+                offerMove(move, visit, { isLeaving: false, isComing: true, other });
+                offerMove(move, visit, { isLeaving: true, isComing: true, other });
+            }
+            if (canTake(move.from, other)) {
+                offerMove(move, visit, { isLeaving: true, isComing: true, other, isSwap: true });
+            }
+        }
+    }
+
+    function offerMove(
+        move: Move,
+        visit: (move: Move) => void,
+        shape: { isLeaving: boolean; isComing: boolean; other?: number; isSwap?: boolean },
+    ): void {
+        move.isLeaving = shape.isLeaving;
+        move.isComing = shape.isComing;
+        move.other = shape.other ?? -1;
+        move.isSwap = shape.isSwap === true;
+        visit(move);
+    }
+
+    function countNew(move: Move): number {
+        const coming = move.isComing && isNew(move.to, move.expert) ? 1 : 0;
+        return coming + (move.isSwap && isNew(move.from, move.other) ? 1 : 0);
+    }
+
+    /** Computes how much a change lowers the objective; only the ranks that it touches count. */
+    function computeGain(move: Move): number {
+        changeHolders(move.expert, move.isLeaving ? move.from : -1, move.isComing ? move.to : -1);
+        if (move.other !== -1) {
+            changeHolders(move.other, move.to, move.isSwap ? move.from : -1);
+        }
+        let gain = 0;
+        for (const rank of touched) {
+            const delta = deltas[rank] ?? 0;
+            if (delta !== 0) {
+                const load = loads[rank] ?? 0;
+                gain += computeCost(load) - computeCost(load + delta);
+                deltas[rank] = 0;
+            }
+        }
+        touched.length = 0;
+        return gain;
+    }
+
+    /** Notes the change of the ranks' loads when an expert leaves one rank and comes to another one. */
+    function changeHolders(expert: number, leaving: number, coming: number): void {
+        const ranks = holders[expert] ?? [];
+        const after = ranks.length + (coming === -1 ? 0 : 1) - (leaving === -1 ? 0 : 1);
+        const shareBefore = getShare(expert, ranks.length);
+        const shareAfter = getShare(expert, after);
+        for (const rank of ranks) {
+            addDelta(rank, (rank === leaving ? 0 : shareAfter) - shareBefore);
+        }
+        if (coming !== -1) {
+            addDelta(coming, shareAfter);
+        }
+    }
+
+    function addDelta(rank: number, delta: number): void {
+        touched.push(rank);
+        addTo(deltas, rank, delta);
+    }
+
+    function applyMove(move: Move): void {
+        moveExpert(move.expert, move.isLeaving ? move.from : -1, move.isComing ? move.to : -1);
+        if (move.other !== -1) {
+            moveExpert(move.other, move.to, move.isSwap ? move.from : -1);
+        }
+    }
+
+    function moveExpert(expert: number, leaving: number, coming: number): void {
+        changeHolders(expert, leaving, coming);
+        for (const rank of touched) {
+            addTo(loads, rank, deltas[rank] ?? 0);
+            deltas[rank] = 0;
+        }
+        touched.length = 0;
+        if (leaving !== -1) {
+            removeFrom(experts[leaving] ?? [], expert);
+            removeFrom(holders[expert] ?? [], leaving);
+            addTo(copies, leaving, isNew(leaving, expert) ? -1 : 0);
+        }
+        if (coming !== -1) {
+            experts[coming]?.push(expert);
+            holders[expert]?.push(coming);
+            addTo(copies, coming, isNew(coming, expert) ? 1 : 0);
+        }
+    }
+
+    function computeCost(load: number): number {
+        const square = (load * perMean) ** 2;
+        const fourth = square * square;
+        return fourth * fourth;
+    }
+}
+
+function addTo(values: Float64Array | Int32Array, index: number, change: number): void {
+    values[index] = (values[index] ?? 0) + change;
+}
+
+function removeFrom(list: number[], value: number): void {
+    const place = list.indexOf(value);
+    if (place !== -1) {
+        list.splice(place, 1);
+    }
+}
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -7,7 +7,7 @@
 import { listenOn } from "../../utils/http.js";
 import type { RunningProgram } from "../../utils/runUntilSignal.js";
 import { startFreezeWatch } from "../../utils/FreezeWatch.js";
-import { type Loop, readMonotonicMs, startLoop } from "../../utils/time.js";
+import { type Loop, readMonotonicMs, startLoop, waitFor } from "../../utils/time.js";
 import { type AgentRankLink, createAgentRankLink } from "./AgentRankLink.js";
 import { createLeadership } from "./Leadership.js";
 import { type MapCoordinator, createMapCoordinator } from "./MapCoordinator.js";
@@ -36,6 +36,8 @@
 
 /** Period in which a coordinator looks at its group, in milliseconds; several looks in the time of a usual answer. */
 const ROUND_MS = 150;
+/** Further pause for each rank beyond the first, so that a large group's coordinator stays within its share, in milliseconds. */
+const ROUND_PER_RANK_MS = 2;
 const CALL_TIMEOUT_MS = 250;
 const LEASE_MS = 3_000;
 /** Silence of the coordinator after which the first rank tries to take over; the next ones wait longer, in milliseconds. */
@@ -150,6 +152,7 @@
             coordinator = await buildCoordinator(report);
         }
         await coordinator?.runRound();
+        await waitFor(ROUND_PER_RANK_MS * links.length);
     }
 
     async function buildCoordinator(report: RankReport): Promise<MapCoordinator | undefined> {
--- /dev/null
+++ b/tests/groups/ordered/planTests.ts
@@ -0,0 +1,80 @@
+import t from "tap";
+import { createRandom } from "../../../bench/scheduling/Random.js";
+import { computeSetRatio, planSet } from "../../../src/groups/ordered/planMap.js";
+import { buildList } from "../../../src/utils/list.js";
+
+interface GroupSize {
+    ranks: number;
+    experts: number;
+    placements: number;
+}
+
+const RESERVE = 2;
+const SKEW = 1.1;
+const JUMPS = 20;
+/** Target of the project: load of the most loaded rank over the mean, on average while demand shifts. */
+const TARGET_RATIO = 1.3;
+const FLOOR = 0.02;
+
+/** Loads by rank of popularity, in an order drawn at random. */
+function drawLoads(random: ReturnType<typeof createRandom>, experts: number): number[] {
+    const order = buildList(experts, expert => ({ expert, key: random.draw() }));
+    order.sort((left, right) => left.key - right.key);
+    const loads = new Array<number>(experts).fill(0);
+    order.forEach(({ expert }, place) => (loads[expert] = 1 / (place + 1) ** SKEW + FLOOR));
+    return loads;
+}
+
+function buildStart(size: GroupSize): number[][] {
+    const all = buildList(size.experts, expert => expert);
+    return buildList(size.ranks, rank => all.filter(expert => expert % size.ranks === rank));
+}
+
+const SIZES: GroupSize[] = [
+    { ranks: 16, experts: 64, placements: 5 },
+    { ranks: 72, experts: 144, placements: 3 },
+];
+
+for (const size of SIZES) {
+    t.test(`plans for ${size.ranks} ranks keep the limits and follow jumps of demand`, t => {
+        const random = createRandom(1);
+        let current = buildStart(size);
+        let sum = 0;
+        for (let jump = 0; jump < JUMPS; jump++) {
+            const loads = drawLoads(random, size.experts);
+            const limits = { placements: size.placements, reserve: RESERVE, leastGainPerCopy: 0.015 };
+            const plan = planSet(current, loads, limits);
+            const held = new Set(plan.experts.flat());
+            t.equal(held.size, size.experts, "each expert is held by a rank");
+            t.ok(plan.experts.every(ofRank => ofRank.length <= size.placements));
+            t.ok(plan.experts.every(ofRank => new Set(ofRank).size === ofRank.length));
+            const added = plan.experts.map((ofRank, rank) => ofRank.filter(expert => !current[rank]?.includes(expert)));
+            t.ok(added.every(ofRank => ofRank.length <= RESERVE));
+            t.equal(plan.copies, added.flat().length);
+            t.ok(Math.abs(plan.after - computeSetRatio(plan.experts, loads)) < 1e-6, "the ratio is the real one");
+            sum += plan.after;
+            current = plan.experts;
+        }
+        t.ok(sum / JUMPS <= TARGET_RATIO, `${(sum / JUMPS).toFixed(3)} on average`);
+        t.end();
+    });
+}
+
+t.test("a dearer copy means fewer copies", t => {
+    const random = createRandom(2);
+    const size = { ranks: 16, experts: 64, placements: 5 };
+    const loads = drawLoads(random, size.experts);
+    const copies = [0.003, 0.04, 0.5].map(
+        leastGainPerCopy =>
+            planSet(buildStart(size), loads, { placements: size.placements, reserve: RESERVE, leastGainPerCopy })
+                .copies,
+    );
+    t.ok((copies[0] ?? 0) >= (copies[1] ?? 0) && (copies[1] ?? 0) > (copies[2] ?? 0), copies.join(" "));
+    t.end();
+});
+
+t.test("without load nothing is planned", t => {
+    const plan = planSet([[0], [1]], [0, 0], { placements: 2, reserve: 1, leastGainPerCopy: 0 });
+    t.match(plan, { experts: [[0], [1]], before: 1, after: 1, copies: 0 });
+    t.end();
+});
