--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -3,7 +3,7 @@
 import { readMonotonicMs } from "../utils/time.js";
 import type { DirectContext } from "./DirectContext.js";
 import type { RoutedExchange } from "./DirectExchange.js";
-import { CallFailure, type FailedCall, type OpenedAnswer, openEndpointCall } from "./EndpointCall.js";
+import { CallFailure, type FailedCall, type OpenedAnswer, isFramed, openEndpointCall } from "./EndpointCall.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import { RouteKind } from "./RoutingDocument.js";
 import { buildEndpointHeaders } from "./buildEndpointHeaders.js";
@@ -139,7 +139,7 @@
             return handleFailedCall(opening.failed, endpoint, context, state);
         }
         const end = await handleAnswer(opening.answer, exchange, context, relay, state, endpoint);
-        result = `${end} ${opening.answer.status}`;
+        result = `${end} ${opening.answer.status} ${describeFraming(opening.answer)}`;
         return end;
     } finally {
         context.load.endRequest(endpoint.id);
@@ -212,6 +212,11 @@
     return end === RelayEnd.Failed ? SendEnd.Failed : SendEnd.Broken;
 }
 
+/** Tells for the log how the end of an answer is known. */
+function describeFraming({ response, isCut }: OpenedAnswer): string {
+    return `${isFramed(response) ? "framed" : "unframed"}${isCut() ? ", cut" : ""}`;
+}
+
 /** Statuses by which the router promises that a request has not run: 408, 429 and 503. */
 function isPromiseStatus(status: number): boolean {
     return status === 408 || status === 429 || status === STATUS_UNAVAILABLE;
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -1,4 +1,5 @@
 import http from "node:http";
+import type { Socket } from "node:net";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
 
@@ -99,6 +100,9 @@
         call.on("response", response => {
             clearTimeout(connectTimer);
             response.on("error", () => undefined);
+            if (!isFramed(response)) {
+                response.socket.prependListener("end", () => checkReset(response.socket, () => (isCut = true)));
+            }
             const opening = checkHead(response, request, names, () => isCut);
             if ("failed" in opening) {
                 response.destroy();
@@ -109,6 +113,33 @@
     });
 }
 
+/**
+ * Tells whether the head says where the body ends; else the body ends with the connection.
+ * @param response - Answer whose head has arrived.
+ */
+export function isFramed(response: http.IncomingMessage): boolean {
+    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Finds out whether a connection that seems to have ended in order was reset. A reset that arrives together with data
+ * is reported as an end; but a reset connection has no peer any more, and takes no byte. The empty line that is written
+ * means nothing in the protocol.
+ */
+function checkReset(socket: Socket, onReset: () => void): void {
+    if (socket.remoteAddress === undefined) {
+        onReset();
+        return;
+    }
+    socket.write(EMPTY_LINE, error => {
+        if (error) {
+            onReset();
+        }
+    });
+}
+
+const EMPTY_LINE = "\r\n";
+
 function describeFailure(error: Error, isConnected: boolean, isAborted: boolean): FailedCall {
     if (isAborted) {
         return { failure: CallFailure.Cancelled, mayHaveRun: isConnected, detail: error.message };
--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -25,6 +25,7 @@
     /** Endpoints of a service that take new work. */
     listServing(service: string): readonly EndpointRecord[];
     getRecord(id: string): EndpointRecord | undefined;
+    /** Lists the endpoints whose entries haven't lapsed. */
     listRecords(): EndpointRecord[];
     countRecords(): number;
 }
@@ -60,7 +61,8 @@
         expireLapsed,
         listServing: service => serving.get(service) ?? [],
         getRecord: id => entries.get(id)?.record,
-        listRecords: () => [...entries.values()].map(entry => entry.record),
+        listRecords: () =>
+            [...entries.values()].filter(entry => entry.lapsesAt === undefined).map(entry => entry.record),
         countRecords: () => entries.size,
     };
 
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -19,6 +19,8 @@
     directory: EndpointDirectory;
     /** Time since the platform last answered this router, in milliseconds. */
     getPlatformAgeMs: () => number;
+    /** Revision of the platform's store up to which this router knows the endpoints from the store itself. */
+    getEndpointRevision: () => number;
     logger: Logger;
 }
 
@@ -26,6 +28,8 @@
 export interface PeerFallback {
     /** Looks at news: a higher version of the routes is fetched at once. */
     handleNews(news: RouterNews): void;
+    /** Revision up to which the endpoints are known, from the store or a peer. */
+    getEndpointRevision(): number;
     stop(): Promise<void>;
 }
 
@@ -44,11 +48,14 @@
     const { holder, directory, logger } = options;
     const clients = new Map<string, ControlClient<DirectControl>>();
     let isFetching = false;
+    /** Revision of the endpoints last taken from a peer. */
+    let takenRevision = 0;
     const loop: Loop = startLoop(PERIOD_MS, askIfSilent, error =>
         logger.logFailure(EventId.TaskFailed, error, { task: "peer fallback" }),
     );
     return {
         handleNews,
+        getEndpointRevision,
         async stop() {
             await loop.stop();
             clients.forEach(client => client.close());
@@ -61,6 +68,10 @@
         }
     }
 
+    function getEndpointRevision(): number {
+        return Math.max(takenRevision, options.getEndpointRevision());
+    }
+
     async function askIfSilent(): Promise<void> {
         if (options.getPlatformAgeMs() < PLATFORM_SILENT_MS) {
             return;
@@ -107,7 +118,10 @@
         if (knowledge.document !== undefined) {
             holder.offerDocument(knowledge.document, address);
         }
-        if (options.getPlatformAgeMs() >= PLATFORM_SILENT_MS && knowledge.endpoints.length > 0) {
+        // Older knowledge would bring back endpoints that are known to be gone.
+        const isNewer = knowledge.endpointRevision > getEndpointRevision();
+        if (options.getPlatformAgeMs() >= PLATFORM_SILENT_MS && isNewer) {
+            takenRevision = knowledge.endpointRevision;
             directory.applyListing(knowledge.endpoints, readMonotonicMs());
         }
     }
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -19,6 +19,8 @@
 export interface StoreSync {
     /** Time since the service last answered a call about the endpoints, in milliseconds. */
     getAgeMs(): number;
+    /** Revision of the service up to which the endpoints are known; 0 before the first listing. */
+    getEndpointRevision(): number;
     stop(): Promise<void>;
 }
 
@@ -37,6 +39,7 @@
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
     const { service, codec, holder, directory, logger } = options;
     let answeredAt = Number.NEGATIVE_INFINITY;
+    let endpointRevision = 0;
     let isDown = false;
     const documentWatcher: PrefixWatcher = startPrefixWatcher({
         service,
@@ -69,6 +72,7 @@
     });
     return {
         getAgeMs: () => readMonotonicMs() - answeredAt,
+        getEndpointRevision: () => endpointRevision,
         async stop() {
             await Promise.all([documentWatcher.stop(), endpointWatcher.stop()]);
         },
@@ -104,7 +108,8 @@
         return decoded.value;
     }
 
-    function recordAnswer(): void {
+    function recordAnswer(revision: number): void {
+        endpointRevision = revision;
         answeredAt = readMonotonicMs();
         directory.expireLapsed(answeredAt);
         if (isDown) {
--- a/src/direct/directControl.ts
+++ b/src/direct/directControl.ts
@@ -6,6 +6,8 @@
 export interface RouterKnowledge {
     document: RoutingDocument | undefined;
     endpoints: EndpointRecord[];
+    /** Revision of the platform's store up to which the endpoints are known. */
+    endpointRevision: number;
 }
 
 /**
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -135,6 +135,7 @@
         holder,
         directory,
         getPlatformAgeMs: () => sync.getAgeMs(),
+        getEndpointRevision: () => sync.getEndpointRevision(),
         logger,
     });
     const controlServer = startControlServer(
@@ -142,6 +143,7 @@
         buildDirectControl(() => ({
             document: holder.getIndex()?.document,
             endpoints: directory.listRecords(),
+            endpointRevision: fallback.getEndpointRevision(),
         })),
         [settings.processKey],
     );
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -8,8 +8,8 @@
     onListing(entries: readonly KeyValueEntry[]): void;
     onChanged(entry: KeyValueEntry): void;
     onDeleted(key: string): void;
-    /** The service has answered, with or without changes. */
-    onAnswer(): void;
+    /** The service has answered, with or without changes, up to a revision. */
+    onAnswer(revision: number): void;
     /** A call has failed; it will be made again. */
     onFailure(error: unknown): void;
 }
@@ -74,7 +74,7 @@
                 applyAnswer(answer);
             }
             retryMs = FIRST_RETRY_MS;
-            listener.onAnswer();
+            listener.onAnswer(revision ?? 0);
         } catch (error) {
             if (running.signal.aborted) {
                 return;
--- a/tests/direct/answersTests.ts
+++ b/tests/direct/answersTests.ts
@@ -19,6 +19,9 @@
     "an answer without a length that ends in a reset": (seen, socket) => {
         socket.write(buildHead(seen) + BODY.slice(0, 5), () => setTimeout(() => socket.resetAndDestroy(), 20));
     },
+    "an answer without a length whose reset arrives together with it": (seen, socket) => {
+        socket.write(buildHead(seen) + BODY.slice(0, 5), () => socket.resetAndDestroy());
+    },
     "an answer shorter than its length": (seen, socket) => {
         socket.end(buildHead(seen, `Content-Length: ${BODY.length}\r\n`) + BODY.slice(0, 5));
     },
