--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -179,7 +179,8 @@
         }
         const current = map;
         const expertLoads = loads.getLoads(now);
-        const ratio = computeMean(current.map((ofSet, set) => computeSetRatio(ofSet, expertLoads[set] ?? [])));
+        const paces = reports.map(report => report.pace);
+        const ratio = computeMean(current.map((ofSet, set) => computeSetRatio(ofSet, expertLoads[set] ?? [], paces)));
         const isBusy = isGroupBusy(reports);
         const leastGain = isBusy ? LEAST_GAIN_BUSY : LEAST_GAIN_IDLE;
         if (ratio < 1 + leastGain) {
@@ -188,6 +189,7 @@
         const limits: PlanLimits = {
             placements: layout.placements,
             reserve: layout.reserve,
+            paces,
             leastGainPerCopy: isBusy ? GAIN_PER_COPY_BUSY : GAIN_PER_COPY_IDLE,
         };
         const plans: SetPlan[] = [];
@@ -215,6 +217,7 @@
             copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
             planMs,
             isBusy,
+            slowestPace: Math.max(...paces),
             tookMs: Math.round(readMonotonicMs() - now),
         });
         isSettled = result.end !== ChangeEnd.Unsettled;
--- a/src/groups/ordered/SetSearch.ts
+++ b/src/groups/ordered/SetSearch.ts
@@ -34,7 +34,7 @@
 const LEAST_GAIN = 1e-4;
 
 /**
- * Creates a search. The objective is the sum of the eighth powers of the ranks' loads over the mean: the most loaded
+ * Creates a search. The objective is the sum of the eighth powers of the ranks' times over the mean load: the slowest
  * ranks decide, and the others still give a direction.
  * @param current - Experts by rank.
  * @param expertLoads - Load of each expert.
@@ -53,17 +53,23 @@
     const holders: number[][] = expertLoads.map(() => []);
     experts.forEach((ofRank, rank) => ofRank.forEach(expert => holders[expert]?.push(rank)));
     const loads = new Float64Array(size);
+    const paces = current.map((ofRank, rank) => Math.max(1, limits.paces?.[rank] ?? 1));
     holders.forEach((ranks, expert) => ranks.forEach(rank => addTo(loads, rank, getShare(expert, ranks.length))));
     const copies = new Int32Array(size);
     const deltas = new Float64Array(size);
     const touched: number[] = [];
     return {
         applyBestMove,
-        getRatio: () => (perMean === 0 ? 1 : Math.max(...loads) * perMean),
+        getRatio: () => (perMean === 0 ? 1 : Math.max(...loads.map(getTime)) * perMean),
         listExperts: () => experts.map(ofRank => [...ofRank].sort((left, right) => left - right)),
         countCopies: () => copies.reduce((sum, count) => sum + count, 0),
     };
 
+    /** Time that a rank takes for its load, in units of load at the usual pace. */
+    function getTime(load: number, rank: number): number {
+        return load * (paces[rank] ?? 1);
+    }
+
     function getShare(expert: number, replicas: number): number {
         return replicas === 0 ? 0 : (expertLoads[expert] ?? 0) / replicas;
     }
@@ -88,8 +94,9 @@
         if (perMean === 0) {
             return false;
         }
-        const objective = loads.reduce((sum, load) => sum + computeCost(load), 0);
-        const order = [...loads.keys()].sort((left, right) => (loads[right] ?? 0) - (loads[left] ?? 0));
+        const times = loads.map(getTime);
+        const objective = times.reduce((sum, time) => sum + computeCost(time), 0);
+        const order = [...loads.keys()].sort((left, right) => (times[right] ?? 0) - (times[left] ?? 0));
         const light = order.slice(-LIGHT_RANKS).reverse();
         let best: Move | undefined;
         let bestGain = LEAST_GAIN * objective;
@@ -172,7 +179,7 @@
             const delta = deltas[rank] ?? 0;
             if (delta !== 0) {
                 const load = loads[rank] ?? 0;
-                gain += computeCost(load) - computeCost(load + delta);
+                gain += computeCost(getTime(load, rank)) - computeCost(getTime(load + delta, rank));
                 deltas[rank] = 0;
             }
         }
@@ -225,8 +232,8 @@
         }
     }
 
-    function computeCost(load: number): number {
-        const square = (load * perMean) ** 2;
+    function computeCost(time: number): number {
+        const square = (time * perMean) ** 2;
         const fourth = square * square;
         return fourth * fourth;
     }
--- a/src/groups/ordered/planMap.ts
+++ b/src/groups/ordered/planMap.ts
@@ -6,6 +6,8 @@
     placements: number;
     /** Experts in a set that may be new to a rank. */
     reserve: number;
+    /** How many times as long as usual each rank takes for its work; a slow rank gets less. */
+    paces?: readonly number[];
     /** Gain in the objective that a copied expert must bring, as a part of the objective. */
     leastGainPerCopy: number;
 }
@@ -47,7 +49,12 @@
  * Computes the load of the most loaded rank over the mean.
  * @param current - Experts by rank.
  * @param expertLoads - Load of each expert.
+ * @param paces - How many times as long as usual each rank takes for its work.
  */
-export function computeSetRatio(current: readonly (readonly number[])[], expertLoads: readonly number[]): number {
-    return createSetSearch(current, expertLoads, { placements: 0, reserve: 0, leastGainPerCopy: 0 }).getRatio();
+export function computeSetRatio(
+    current: readonly (readonly number[])[],
+    expertLoads: readonly number[],
+    paces?: readonly number[],
+): number {
+    return createSetSearch(current, expertLoads, { placements: 0, reserve: 0, leastGainPerCopy: 0, paces }).getRatio();
 }
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -39,10 +39,11 @@
 /** Further pause for each rank beyond the first, so that a large group's coordinator stays within its share, in milliseconds. */
 const ROUND_PER_RANK_MS = 2;
 const CALL_TIMEOUT_MS = 250;
-const LEASE_MS = 3_000;
+/** Time to live of the office's lease, in milliseconds: above the store's least one, and a few renewals long. */
+const LEASE_MS = 1_500;
 /** Silence of the coordinator after which the first rank tries to take over; the next ones wait longer, in milliseconds. */
-const SILENCE_MS = 1_200;
-const SILENCE_PER_RANK_MS = 300;
+const SILENCE_MS = 800;
+const SILENCE_PER_RANK_MS = 250;
 /** Standstill after which a coordinator asks for its office again; well below the lease, in milliseconds. */
 const FROZEN_MS = 1_000;
 /** Time between two listings of the group's members while some are unknown, in milliseconds. */
--- a/tests/groups/ordered/planTests.ts
+++ b/tests/groups/ordered/planTests.ts
@@ -73,6 +73,21 @@
     t.end();
 });
 
+t.test("a slow rank gives its work away", t => {
+    const size = { ranks: 16, experts: 64, placements: 5 };
+    const loads = drawLoads(createRandom(3), size.experts);
+    const paces = buildList(size.ranks, rank => (rank === 5 ? 12 : 1));
+    const limits = { placements: size.placements, reserve: RESERVE, leastGainPerCopy: 0.015, paces };
+    let current = buildStart(size);
+    for (let change = 0; change < 3; change++) {
+        current = planSet(current, loads, limits).experts;
+    }
+    const slow = planSet(buildStart(size), loads, { ...limits, paces: undefined }).experts;
+    const [ratio, ratioUnaware] = [current, slow].map(experts => computeSetRatio(experts, loads, paces));
+    t.ok((ratio ?? 0) < (ratioUnaware ?? 0) / 4, `${ratio} in place of ${ratioUnaware} times the mean`);
+    t.end();
+});
+
 t.test("without load nothing is planned", t => {
     const plan = planSet([[0], [1]], [0, 0], { placements: 2, reserve: 1, leastGainPerCopy: 0 });
     t.match(plan, { experts: [[0], [1]], before: 1, after: 1, copies: 0 });
