--- /dev/null
+++ b/tests/platform/storeClientTests.ts
@@ -0,0 +1,93 @@
+import t from "tap";
+import { createStoreClient } from "../../platform/StoreClient.js";
+import { ErrorCode, hasErrorCode } from "../../src/errors/index.js";
+import { createLeadership } from "../../src/groups/ordered/Leadership.js";
+import type { KeyValueService } from "../../src/platform/index.js";
+import { type StoreStandin, startStoreStandin } from "../../standins/platform/storeStandin.js";
+import type { OwningTest } from "../fixtures.js";
+
+async function startStore(t: OwningTest): Promise<{ standin: StoreStandin; client: KeyValueService }> {
+    const standin = await startStoreStandin();
+    t.teardown(() => standin.close());
+    return { standin, client: createStoreClient(`127.0.0.1:${standin.port}`) };
+}
+
+async function getCode(call: Promise<unknown>): Promise<ErrorCode | undefined> {
+    try {
+        await call;
+        return undefined;
+    } catch (error) {
+        return Object.values(ErrorCode).find(code => hasErrorCode(error, code));
+    }
+}
+
+t.test("an entry is written under a condition, read, listed over pages and deleted", async t => {
+    const { client } = await startStore(t);
+    for (let index = 1; index <= 7; index++) {
+        t.match(await client.swapEntry({ key: `a/${index}`, expectedRevision: 0, value: `ü${index}` }), {
+            applied: true,
+        });
+    }
+    t.match(await client.getEntry("a/3"), { key: "a/3", value: "ü3", revision: 3 });
+    t.equal(await client.getEntry("a/9"), undefined);
+    const listing = await client.listSnapshot("a/");
+    t.strictSame(
+        listing.entries.map(entry => entry.value),
+        [1, 2, 3, 4, 5, 6, 7].map(index => `ü${index}`),
+    );
+    t.equal(listing.revision, 7);
+    const refused = await client.swapEntry({ key: "a/3", expectedRevision: 9, value: "other" });
+    t.match(refused, { applied: false, current: { value: "ü3", revision: 3 } });
+    t.match(await client.swapEntry({ key: "a/3", expectedRevision: 3, value: undefined }), { applied: true });
+    t.match(await client.swapEntry({ key: "a/3", expectedRevision: 3, value: "x" }), {
+        applied: false,
+        current: undefined,
+    });
+});
+
+t.test("a watch gives changes and deletions after a revision", async t => {
+    const { client } = await startStore(t);
+    await client.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    await client.swapEntry({ key: "a/2", expectedRevision: 0, value: "two" });
+    await client.swapEntry({ key: "a/1", expectedRevision: 1, value: undefined });
+    const answer = await client.watchEntries("a/", 1, 100);
+    t.match(answer, { revision: 3, changed: [{ key: "a/2" }], deleted: ["a/1"] });
+});
+
+t.test("failures tell whether a call may have had an effect", async t => {
+    const { standin, client } = await startStore(t);
+    const write = () => client.swapEntry({ key: `k${Math.random()}`, expectedRevision: 0, value: "v" });
+    standin.faults.status = 503;
+    t.equal(await getCode(write()), ErrorCode.PlatformUnavailable);
+    standin.faults.status = 429;
+    t.equal(await getCode(write()), ErrorCode.PlatformUnavailable);
+    standin.faults.status = undefined;
+    standin.faults.lostAnswers = 1;
+    t.equal(await getCode(write()), ErrorCode.PlatformUncertain);
+    standin.faults.isHistoryLost = true;
+    t.equal(await getCode(client.watchEntries("a/", 1, 100)), ErrorCode.HistoryLost);
+    standin.faults.isSilent = true;
+    t.equal(await getCode(client.getEntry("a")), ErrorCode.PlatformUncertain);
+    standin.faults.isSilent = false;
+    t.equal(await getCode(client.getEntry("a")), undefined, "a new connection answers");
+    await standin.close();
+    t.equal(await getCode(write()), ErrorCode.PlatformUncertain, "the kept connection was cut under the call");
+    t.equal(await getCode(write()), ErrorCode.PlatformUnavailable, "no connection, so no effect");
+});
+
+t.test("one process at a time holds an office, also when the answer that grants it is lost", async t => {
+    const { standin, client } = await startStore(t);
+    const create = (holder: string) => createLeadership({ service: client, key: "office", holder, ttlMs: 60_000 });
+    const first = create("one");
+    const second = create("two");
+    standin.faults.lostAnswers = 1;
+    await t.rejects(first.holdOffice());
+    const term = await first.holdOffice();
+    t.ok(term, "the office is won although the first answer was lost");
+    t.equal(await second.holdOffice(), undefined);
+    t.equal(await first.holdOffice(), term);
+    standin.store.endLeases();
+    const later = await second.holdOffice();
+    t.ok((later ?? 0) > (term ?? 0), "a later office has a higher term");
+    t.equal(second.getTerm(), later);
+});
