--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -29,8 +29,11 @@
 
 /** Follows the load of the experts of one group and changes its map when that pays. */
 export interface MapCoordinator {
-    /** Looks at all ranks, learns, and makes at most one change. */
-    runRound(): Promise<void>;
+    /**
+     * Looks at all ranks, learns, and makes at most one change.
+     * @returns False if the ranks don't all answer, each in its place, in one open group.
+     */
+    runRound(): Promise<boolean>;
 }
 
 /** Time constant of the loads: about the length of a usual answer, since a change of demand shows in new requests. */
@@ -91,21 +94,25 @@
     let quietUntil = 0;
     return { runRound };
 
-    async function runRound(): Promise<void> {
+    async function runRound(): Promise<boolean> {
         const look = await lookAtAll();
         if (look === undefined) {
-            return;
+            return false;
         }
         const version = Math.max(...look.reports.map(report => report.mapVersion));
         if (look.reports[0]?.epoch !== epoch || version !== mapVersion || map === undefined) {
             await readMap(look, version);
         }
-        if (map === undefined) {
-            return;
+        if (map !== undefined) {
+            await settleOrChange(look, map);
         }
+        return true;
+    }
+
+    async function settleOrChange(look: GroupLook, current: ExpertMap): Promise<void> {
         const hasRemains = look.reports.some(report => report.armed !== undefined || report.heldStep !== undefined);
         if (!isSettled || hasRemains) {
-            const settled = await changer.settleGroup(map, getNextVersion(look.reports));
+            const settled = await changer.settleGroup(current, getNextVersion(look.reports));
             isSettled = settled.isSettled;
             quietUntil = Math.max(...look.reports.map(report => report.step)) + computeQuietPasses(LEAD_PASSES);
             logger.logEvent(EventId.GroupFenced, { group: options.group, epoch, hasRemains, ...settled });
@@ -113,7 +120,7 @@
         }
         learn(look);
         if (look.reports.every(report => report.step >= quietUntil)) {
-            await changeIfBetter(look.reports);
+            await changeIfBetter(look.reports, current);
         }
     }
 
@@ -123,7 +130,8 @@
         const reports = looks.flatMap(look => (look === undefined ? [] : [look.report]));
         const first = reports[0]?.epoch;
         const isWhole =
-            reports.length === links.length && reports.every(report => report.isOpen && report.epoch === first);
+            reports.length === links.length &&
+            reports.every((report, rank) => report.isOpen && report.epoch === first && report.rank === rank);
         const counts = looks.flatMap((look, rank) =>
             look?.counts === undefined ? [] : [{ rank, counts: look.counts }],
         );
@@ -172,12 +180,11 @@
         look.counts.forEach(({ rank, counts }) => loads.recordCounts(rank, counts, now));
     }
 
-    async function changeIfBetter(reports: readonly RankReport[]): Promise<void> {
+    async function changeIfBetter(reports: readonly RankReport[], current: ExpertMap): Promise<void> {
         const now = readMonotonicMs();
-        if (map === undefined || loads.getWeight(now) < LEAST_WEIGHT * layout.layerSets) {
+        if (loads.getWeight(now) < LEAST_WEIGHT * layout.layerSets) {
             return;
         }
-        const current = map;
         const expertLoads = loads.getLoads(now);
         const paces = reports.map(report => report.pace);
         const ratio = computeMean(current.map((ofSet, set) => computeSetRatio(ofSet, expertLoads[set] ?? [], paces)));
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -46,6 +46,8 @@
 const SILENCE_PER_RANK_MS = 250;
 /** Standstill after which a coordinator asks for its office again; well below the lease, in milliseconds. */
 const FROZEN_MS = 1_000;
+/** Time after which the members of a group that isn't whole are listed anew, in milliseconds. */
+const INCOMPLETE_MS = 1_000;
 /** Time between two listings of the group's members while some are unknown, in milliseconds. */
 const LISTING_MS = 1_000;
 
@@ -68,6 +70,7 @@
     let coordinator: MapCoordinator | undefined;
     let links: AgentRankLink[] = [];
     let listedAt = Number.NEGATIVE_INFINITY;
+    let wholeAt = Number.NEGATIVE_INFINITY;
     let leadership: ReturnType<typeof createLeadership> | undefined;
     const server = http.createServer((request, response) => response.writeHead(404).end());
     await listenOn(server, settings.controlPort, settings.address);
@@ -151,8 +154,15 @@
         if (coordinator === undefined && isDue) {
             listedAt = readMonotonicMs();
             coordinator = await buildCoordinator(report);
+            wholeAt = readMonotonicMs();
+        }
+        const isWhole = (await coordinator?.runRound()) ?? false;
+        if (isWhole) {
+            wholeAt = readMonotonicMs();
+        } else if (readMonotonicMs() - wholeAt > INCOMPLETE_MS) {
+            // A group that was formed anew may have other members, or the same ones in other places.
+            coordinator = undefined;
         }
-        await coordinator?.runRound();
         await waitFor(ROUND_PER_RANK_MS * links.length);
     }
 
--- /dev/null
+++ b/tests/groups/ordered/coordinatorTests.ts
@@ -0,0 +1,68 @@
+import t from "tap";
+import { AgentRankLink } from "../../../src/groups/ordered/AgentRankLink.js";
+import { createMapCoordinator } from "../../../src/groups/ordered/MapCoordinator.js";
+import {
+    OrderAnswer,
+    type OrderResult,
+    type RankCounts,
+    type RankExperts,
+    type RankOrder,
+    type RankReport,
+} from "../../../src/groups/ordered/index.js";
+import { createLogger } from "../../../src/telemetry/logger.js";
+import { createOrderedGroup } from "../../../standins/group/OrderedGroup.js";
+
+const SIZE = { ranks: 2, layerSets: 1, experts: 4 };
+const LAYOUT = { slots: 1, layerSets: SIZE.layerSets, experts: SIZE.experts, placements: 3, reserve: 2 };
+
+/** A coordinator whose links reach the given ranks, in that order. */
+function startCoordinator(reached: readonly number[]) {
+    const group = createOrderedGroup({ ...SIZE, copyTicks: 0 });
+    const orders: RankOrder[] = [];
+    const links = reached.map(
+        rank =>
+            new (class DirectLink extends AgentRankLink {
+                override async look(): Promise<{ report: RankReport; counts: RankCounts }> {
+                    return { report: group.getReport(rank), counts: await this.readCounts() };
+                }
+
+                override async readReport(): Promise<RankReport> {
+                    return group.getReport(rank);
+                }
+
+                override async readCounts(): Promise<RankCounts> {
+                    return { epoch: 1, step: 0, counts: [0, 0, 0, 0] };
+                }
+
+                override async readExperts(): Promise<RankExperts> {
+                    return group.getExperts(rank);
+                }
+
+                override async sendOrder(order: RankOrder): Promise<OrderResult> {
+                    orders.push(order);
+                    group.applyOrder(rank, order, 1);
+                    group.tick();
+                    return { answer: OrderAnswer.Accepted, detail: "", report: group.getReport(rank) };
+                }
+
+                override close(): void {
+                    orders.length = 0;
+                }
+            })(),
+    );
+    const logger = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
+    const coordinator = createMapCoordinator({ group: "g0", layout: LAYOUT, links, isLeader: () => true, logger });
+    return { coordinator, orders };
+}
+
+t.test("a new coordinator settles its group before anything else", async t => {
+    const { coordinator, orders } = startCoordinator([0, 1]);
+    t.equal(await coordinator.runRound(), true);
+    t.equal(orders.length, SIZE.ranks);
+});
+
+t.test("a group whose ranks have changed places gets no orders until its members are listed anew", async t => {
+    const { coordinator, orders } = startCoordinator([1, 0]);
+    t.equal(await coordinator.runRound(), false);
+    t.strictSame(orders, []);
+});
