Drop a header name, a field and a method that nothing uses; one copy of the bound on losses

Found on the last read of the diff. MAX_LOSSES stood in the attempt loop and in SuspectTable with the same value; the queue time was always logged as 0, since the router has no queue yet; the comment on a held office named the lease where the code compares the holder. Behaviour stays as it is.

--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -1,4 +1,5 @@
 import { Cause, Outcome, type Refusal } from "../protocol/index.js";
+import { MAX_LOSSES } from "../scheduling/index.js";
 import { computeDigest } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import type { DirectContext } from "./DirectContext.js";
@@ -11,8 +12,6 @@
 import { probeConnection } from "./probeConnection.js";
 import { type AnswerRelay, RelayEnd } from "./relay/AnswerRelay.js";
 
-/** Endpoints that may be lost under one request before it is refused. */
-const MAX_LOSSES = 2;
 /** Connections that fail before anything is sent, for one request. */
 const MAX_UNREACHABLE = 4;
 const STATUS_UNAVAILABLE = 503;
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -42,8 +42,6 @@
     events: number;
     /** Monotonic time of the first byte to the caller, in milliseconds. */
     firstByteAt: number | undefined;
-    /** Time spent in the router's queue, in milliseconds. */
-    queuedMs: number;
     /** Cause of an answer that was cut. */
     failure: Cause | undefined;
     /** Brings the deadline forward; a later time changes nothing. */
@@ -80,7 +78,6 @@
         attempts: [],
         events: 0,
         firstByteAt: undefined,
-        queuedMs: 0,
         failure: undefined,
         shortenDeadline(at) {
             if (at < deadlineAt) {
--- a/src/direct/HeaderNames.ts
+++ b/src/direct/HeaderNames.ts
@@ -18,6 +18,4 @@
     notRun: string;
     /** Signature of the endpoint that answered. */
     signature: string;
-    /** Prompt tokens and the most output tokens, separated by a comma. */
-    tokenCounts: string;
 }
--- a/src/direct/LoadBoard.ts
+++ b/src/direct/LoadBoard.ts
@@ -5,8 +5,6 @@
 export interface LoadBoard {
     startRequest(endpoint: string): void;
     endRequest(endpoint: string): void;
-    /** Own requests in progress at an endpoint. */
-    getOwn(endpoint: string): number;
     /** Requests in progress at an endpoint over all routers. */
     getLoad(endpoint: string, now: number): number;
     listOwn(): LoadCounts;
@@ -26,7 +24,7 @@
 export function createLoadBoard(): LoadBoard {
     const own = new Map<string, number>();
     const peers = new Map<string, PeerLoad>();
-    return { startRequest, endRequest, getOwn, getLoad, listOwn, setPeerLoad };
+    return { startRequest, endRequest, getLoad, listOwn, setPeerLoad };
 
     function startRequest(endpoint: string): void {
         own.set(endpoint, getOwn(endpoint) + 1);
--- a/src/direct/SettledLog.ts
+++ b/src/direct/SettledLog.ts
@@ -41,7 +41,6 @@
             cause,
             detail: refusal?.detail,
             retryAfterMs: refusal?.retryAfterMs,
-            queuedMs: Math.round(exchange.queuedMs),
             firstByteMs:
                 exchange.firstByteAt === undefined ? undefined : Math.round(exchange.firstByteAt - exchange.arrivedAt),
             lastedMs: Math.round(endedAt - exchange.arrivedAt),
--- a/src/groups/ordered/Leadership.ts
+++ b/src/groups/ordered/Leadership.ts
@@ -53,7 +53,7 @@
         const startedAt = readMonotonicMs();
         leaseId ??= await service.grantLease(options.ttlMs);
         const { applied, current } = await service.swapEntry({ key, expectedRevision: 0, value: holder, leaseId });
-        // The same lease on the key means that an earlier answer was lost, and the office is won.
+        // The own name on the key means that an earlier answer was lost or this process has restarted: the office is held.
         const isOwn = current?.value === holder;
         if (current === undefined || (!applied && !isOwn)) {
             leaseId = undefined;
