--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -68,19 +68,19 @@
         return createRefusal(state, Cause.NoEndpoint, "no endpoint of the service takes work", outageMs);
     }
     for (;;) {
-        if (!context.suspects.isEmpty() && context.suspects.getLosses(digest()) >= MAX_LOSSES) {
-            return createRefusal(state, Cause.CrashSuspected, "endpoints were lost under this request", undefined);
+        const next = findNextSend(exchange, context, state, digest);
+        if ("refusal" in next) {
+            return relay.sendKeptFailure() ? undefined : next.refusal;
         }
-        const endpoint = findEndpoint(exchange, context, state);
-        if (endpoint === undefined) {
-            return createRefusal(state, Cause.NoEndpoint, "no endpoint takes this request now", RETRY_MS);
+        const end = await sendOnce(exchange, context, relay, state, next.endpoint);
+        if (end === SendEnd.Answered) {
+            clearSuspect(context, digest);
         }
-        const end = await sendOnce(exchange, context, relay, state, endpoint);
         if (end === SendEnd.Answered || exchange.isCallerGone) {
             return undefined;
         }
         if (end === SendEnd.Broken) {
-            await recordLoss(endpoint, context, state, digest);
+            await recordLoss(next.endpoint, context, state, digest);
         }
         const refusal = checkFurtherSend(exchange, context, state, end);
         if (refusal !== undefined) {
@@ -89,6 +89,31 @@
     }
 }
 
+/** Finds the endpoint of the next send, or the reason why there is none. */
+function findNextSend(
+    exchange: RoutedExchange,
+    context: DirectContext,
+    state: LoopState,
+    digest: () => string,
+): { endpoint: EndpointRecord } | { refusal: Refusal } {
+    if (!context.suspects.isEmpty() && context.suspects.getLosses(digest()) >= MAX_LOSSES) {
+        const detail = "endpoints were lost under this request";
+        return { refusal: createRefusal(state, Cause.CrashSuspected, detail, undefined) };
+    }
+    const endpoint = findEndpoint(exchange, context, state);
+    if (endpoint === undefined) {
+        return { refusal: createRefusal(state, Cause.NoEndpoint, "no endpoint takes this request now", RETRY_MS) };
+    }
+    return { endpoint };
+}
+
+/** A request that ran to its end doesn't crash endpoints: those lost under it before were lost to something else. */
+function clearSuspect(context: DirectContext, digest: () => string): void {
+    if (!context.suspects.isEmpty()) {
+        context.suspects.recordCompletion(digest());
+    }
+}
+
 /** A refusal during an outage asks the caller to come back when the service is likely to be there again. */
 function prolongDuringOutage(refusal: Refusal, exchange: RoutedExchange, context: DirectContext): Refusal {
     const now = readMonotonicMs();
--- a/src/telemetry/BoundedWriter.ts
+++ b/src/telemetry/BoundedWriter.ts
@@ -51,18 +51,27 @@
             dropped = 0;
         }
         const bytes = Buffer.from(`${waiting.join("\n")}\n`);
+        const lines = waiting.length;
         waiting = [];
         waitingBytes = 0;
-        writeBytes(bytes);
+        writeBytes(bytes, lines);
     }
 
-    function writeBytes(bytes: Buffer): void {
+    function writeBytes(bytes: Buffer, lines: number): void {
         write(options.descriptor, bytes, (error, written) => {
             if (error?.code === "EAGAIN") {
-                setTimeout(() => writeBytes(bytes), RETRY_MS);
-            } else if (!error && written < bytes.length) {
-                writeBytes(bytes.subarray(written));
-            } else if (waiting.length > 0) {
+                setTimeout(() => writeBytes(bytes, lines), RETRY_MS);
+                return;
+            }
+            if (!error && written < bytes.length) {
+                writeBytes(bytes.subarray(written), lines);
+                return;
+            }
+            if (error) {
+                // Nothing else can take the report: the lines count as dropped, and the next line that gets out says so.
+                dropped += lines;
+            }
+            if (waiting.length > 0) {
                 writeWaiting();
             } else {
                 isWriting = false;
--- /dev/null
+++ b/tests/direct/failuresTests.ts
@@ -0,0 +1,58 @@
+import t from "tap";
+import type { EndpointScript, EndpointStandin } from "../../standins/endpoint/endpointStandin.js";
+import { callRouter, startDirectSystem } from "./fixtures.js";
+
+const FAILURE = "the endpoint's own failure";
+
+const answerFailure: EndpointScript = (seen, socket, response) => {
+    const head = { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" };
+    response.writeHead(500, head).end(FAILURE);
+};
+
+const answerSuccess: EndpointScript = (seen, socket, response) => {
+    const head = { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" };
+    response.writeHead(200, head).end("done");
+};
+
+/** Ends the whole endpoint in the middle of a request, as a crash does. */
+function crashEndpoint(endpoint: EndpointStandin): EndpointScript {
+    return () => void endpoint.close();
+}
+
+t.test("a failure that was kept is delivered when no other endpoint is left", async t => {
+    const system = await startDirectSystem(t, 1);
+    system.endpoints[0]?.setScript(answerFailure);
+    const answer = await callRouter(system, { path: "/stock/1" });
+    t.match(answer, { status: 500, body: FAILURE, isWhole: true });
+    t.equal(answer.headers["server-stamp"], "s-1");
+    t.equal(system.endpoints[0]?.seen.length, 1);
+});
+
+t.test("a request under which two endpoints were lost reaches no third one; others do", async t => {
+    const system = await startDirectSystem(t, 4);
+    for (const endpoint of system.endpoints) {
+        endpoint.setScript((seen, ...rest) =>
+            (seen.path.endsWith("crash") ? crashEndpoint(endpoint) : answerSuccess)(seen, ...rest),
+        );
+    }
+    const first = await callRouter(system, { path: "/stock/crash" });
+    t.equal(first.status, 502);
+    const second = await callRouter(system, { path: "/stock/crash", headers: { "attempt-id": "a-2" } });
+    t.equal(second.status, 503, "refused before a send, so the promise holds");
+    const crashes = system.endpoints.flatMap(({ seen }) => seen).filter(({ path }) => path.endsWith("crash"));
+    t.equal(crashes.length, 2);
+    t.equal((await callRouter(system, { path: "/stock/other" })).status, 200);
+});
+
+t.test("a run to the end clears a request under which an endpoint was lost", async t => {
+    const system = await startDirectSystem(t, 4);
+    let crashesLeft = 1;
+    for (const endpoint of system.endpoints) {
+        endpoint.setScript((seen, ...rest) =>
+            (crashesLeft-- > 0 ? crashEndpoint(endpoint) : answerSuccess)(seen, ...rest),
+        );
+    }
+    t.equal((await callRouter(system, { path: "/stock/1" })).status, 200, "the second endpoint answers");
+    crashesLeft = 1;
+    t.equal((await callRouter(system, { path: "/stock/1" })).status, 200, "one loss since the last whole run");
+});
--- a/tests/telemetry/boundedWriterTests.ts
+++ b/tests/telemetry/boundedWriterTests.ts
@@ -1,6 +1,5 @@
 import { execFileSync } from "node:child_process";
-import { closeSync, constants, openSync, readSync } from "node:fs";
-import { mkdtempSync, rmSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, readSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import t from "tap";
@@ -51,3 +50,27 @@
     t.match(text, /dropped \d+/);
     await writer.flush();
 });
+
+t.test("lines of a write that fails are counted as dropped", async t => {
+    const folder = mkdtempSync(join(tmpdir(), "log-"));
+    t.teardown(() => rmSync(folder, { recursive: true }));
+    const path = join(folder, "log");
+    writeFileSync(path, "");
+    const unwritable = openSync(path, constants.O_RDONLY);
+    const told: number[] = [];
+    const writer = createBoundedWriter({
+        descriptor: unwritable,
+        maxBytes: MAX_BYTES,
+        describeDropped(lines) {
+            told.push(lines);
+            return `dropped ${lines}`;
+        },
+    });
+    writer.writeLine("one");
+    writer.writeLine("two");
+    await writer.flush();
+    writer.writeLine("three");
+    await writer.flush();
+    closeSync(unwritable);
+    t.strictSame(told, [2]);
+});
