--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -145,6 +145,7 @@
     context.load.startRequest(endpoint.id);
     state.tried.add(endpoint.id);
     let result = "";
+    let kind = "";
     try {
         const opening = await openEndpointCall(
             {
@@ -159,10 +160,12 @@
             exchange.ending.signal,
         );
         if ("failed" in opening) {
-            result = `${opening.failed.failure}: ${opening.failed.detail}`;
+            kind = opening.failed.failure;
+            result = `${kind}: ${opening.failed.detail}`;
             return handleFailedCall(opening.failed, endpoint, context, state);
         }
         const end = await handleAnswer(opening.answer, exchange, context, relay, state, endpoint);
+        kind = end;
         result = `${end} ${opening.answer.status} ${describeFraming(opening.answer)}`;
         return end;
     } finally {
@@ -170,6 +173,7 @@
         const now = readMonotonicMs();
         exchange.attempts.push({
             endpoint: endpoint.id,
+            end: kind,
             result,
             sentAfterMs: Math.round(sentAt - exchange.arrivedAt),
             lastedMs: Math.round(now - sentAt),
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -7,6 +7,9 @@
 /** Attempt of an exchange at one endpoint, for the log. */
 export interface ExchangeAttempt {
     endpoint: string;
+    /** Kind of its end. */
+    end: string;
+    /** The end with its details. */
     result: string;
     /** Time from the arrival of the request to the send, in milliseconds. */
     sentAfterMs: number;
--- a/src/direct/DirectListeners.ts
+++ b/src/direct/DirectListeners.ts
@@ -1,6 +1,7 @@
 import http from "node:http";
 import type { AnyTRPCRouter } from "@trpc/server";
-import { startControlServer } from "../control/index.js";
+import { openControlPort } from "../control/index.js";
+import { type MetricsSource, startMetricsServer } from "../telemetry/index.js";
 import { listenOn } from "../utils/http.js";
 import type { CallerServer } from "./CallerServer.js";
 import type { DirectSettings } from "./DirectSettings.js";
@@ -14,6 +15,7 @@
 export interface DirectListenersOptions {
     settings: DirectSettings;
     callers: CallerServer;
+    metrics: MetricsSource;
     /** Control procedures for other routers. */
     control: AnyTRPCRouter;
     /** Tells the balancer whether new connections are welcome. */
@@ -22,7 +24,6 @@
 
 const READINESS_PATH = "/readyz";
 const STATUS_OK = 200;
-const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
 
 /**
@@ -36,18 +37,22 @@
         const isReady = request.url === READINESS_PATH && options.isServing();
         response.writeHead(isReady ? STATUS_OK : STATUS_UNAVAILABLE, { "content-length": "0" }).end();
     });
-    const control = http.createServer((request, response) => response.writeHead(STATUS_NOT_FOUND).end());
-    await Promise.all([
+    const [control, monitoring] = await Promise.all([
+        openControlPort({ ...listen.control, router: options.control, processKey }),
+        startMetricsServer(
+            options.metrics,
+            { isReady: options.isServing },
+            listen.metrics.port,
+            listen.metrics.address,
+        ),
         listenOn(server, listen.callers.port, listen.callers.address),
         listenOn(readiness, listen.readiness.port, listen.readiness.address),
-        listenOn(control, listen.control.port, listen.control.address),
     ]);
-    const calls = startControlServer(control, options.control, [processKey]);
     return {
         close() {
-            calls.close();
-            readiness.close();
             control.close();
+            monitoring.close();
+            readiness.close();
             server.closeAllConnections();
         },
     };
--- /dev/null
+++ b/src/direct/DirectMetrics.ts
@@ -0,0 +1,95 @@
+import type { CallResult } from "../platform/index.js";
+import { Cause, Outcome } from "../protocol/index.js";
+import { type MetricSet, createMetricSet } from "../telemetry/MetricSet.js";
+import type { SettledDirectExchange } from "./CallerServer.js";
+import { type DirectExchange, getUrgency, isRouted } from "./DirectExchange.js";
+
+/** Metrics of a direct router. */
+export interface DirectMetrics {
+    set: MetricSet;
+    recordSettled(settled: SettledDirectExchange): void;
+    /** Counts a call to the platform's store. */
+    recordStoreCall(operation: string, result: CallResult): void;
+}
+
+/** State of the router that is read at each scrape. */
+export interface DirectState {
+    getConcurrent(): number;
+    getDocumentVersion(): number;
+    countEndpoints(): number;
+    /** Routers known, this one included. */
+    countRouters(): number;
+    /** Time since the store last answered, in milliseconds. */
+    getPlatformAgeMs(): number;
+}
+
+const MS_PER_SECOND = 1_000;
+const NO_TEAM = "none";
+const NO_ROUTE = "none";
+
+/**
+ * Creates the metrics.
+ * @param state - Values that are read at each scrape.
+ */
+export function createDirectMetrics(state: DirectState): DirectMetrics {
+    const set = createMetricSet();
+    const requests = set.addCounter({ name: "auburnpass_requests_total", help: "Requests settled" }, [
+        "route",
+        "urgency",
+        "outcome",
+        "cause",
+    ]);
+    const teams = set.addCounter({ name: "auburnpass_team_requests_total", help: "Requests settled, by team" }, [
+        "team",
+        "outcome",
+    ]);
+    const sends = set.addCounter({ name: "auburnpass_sends_total", help: "Sends to endpoints" }, ["service", "result"]);
+    const firstBytes = set.addDurations(
+        { name: "auburnpass_first_byte_seconds", help: "Time to the first byte of the answer" },
+        ["service", "urgency"],
+    );
+    const storeCalls = set.addCounter({ name: "auburnpass_store_calls_total", help: "Calls to the store" }, [
+        "operation",
+        "result",
+    ]);
+    addState(set, state);
+    return {
+        set,
+        recordSettled,
+        recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
+    };
+
+    function recordSettled({ exchange, refusal }: SettledDirectExchange): void {
+        const urgency = isRouted(exchange) ? String(getUrgency(exchange)) : "";
+        const cause = refusal?.cause ?? exchange.failure ?? (exchange.isCallerGone ? Cause.CallerGone : Cause.None);
+        const outcome = refusal?.outcome ?? (cause === Cause.None ? Outcome.Ran : Outcome.Unknown);
+        requests.addAmount({ route: exchange.route?.name ?? NO_ROUTE, urgency, outcome, cause });
+        teams.addAmount({ team: exchange.team?.name ?? NO_TEAM, outcome });
+        for (const { end } of exchange.attempts) {
+            sends.addAmount({ service: exchange.service, result: end });
+        }
+        recordFirstByte(exchange, urgency);
+    }
+
+    function recordFirstByte(exchange: DirectExchange, urgency: string): void {
+        if (exchange.firstByteAt !== undefined) {
+            firstBytes.recordDuration(
+                { service: exchange.service, urgency },
+                exchange.firstByteAt - exchange.arrivedAt,
+            );
+        }
+    }
+}
+
+function addState(set: MetricSet, state: DirectState): void {
+    set.addGauge({ name: "auburnpass_running", help: "Requests in progress" }, () => state.getConcurrent());
+    set.addGauge({ name: "auburnpass_document_version", help: "Version of the routes in force" }, () =>
+        state.getDocumentVersion(),
+    );
+    set.addGauge({ name: "auburnpass_known_endpoints", help: "Endpoints known" }, () => state.countEndpoints());
+    set.addGauge({ name: "auburnpass_known_routers", help: "Routers known" }, () => state.countRouters());
+    set.addGauge(
+        { name: "auburnpass_store_age_seconds", help: "Time since the store last answered" },
+        () => state.getPlatformAgeMs() / MS_PER_SECOND,
+    );
+}
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -9,7 +9,7 @@
     zone: z.string().min(1),
     /** IP address of this host. */
     address: z.ipv4(),
-    listen: z.strictObject({ callers: endpoint, readiness: endpoint, control: endpoint }),
+    listen: z.strictObject({ callers: endpoint, readiness: endpoint, control: endpoint, metrics: endpoint }),
     /** Port of the datagrams between routers, the same on every host. */
     newsPort: port,
     /** Control addresses of routers that are known from the start; they may be stale. */
--- a/src/direct/Knowledge.ts
+++ b/src/direct/Knowledge.ts
@@ -16,6 +16,8 @@
     isOutdated(): boolean;
     /** Gets what this router knows, for another one. */
     getKnowledge(): RouterKnowledge;
+    /** Time since the store last answered, in milliseconds. */
+    getPlatformAgeMs(): number;
     /** Most routers known at one time, this one included. */
     countRouters(): number;
     /** Tells the other routers at once that this one is leaving. */
@@ -72,6 +74,7 @@
             endpoints: directory.listRecords(),
             endpointRevision: fallback.getEndpointRevision(),
         }),
+        getPlatformAgeMs: () => sync.getAgeMs(),
         countRouters: () => news.countRouters(),
         announceLeaving() {
             isLeaving = true;
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -1,4 +1,4 @@
-import type { KeyValueService } from "../platform/index.js";
+import { type KeyValueService, createCountedService } from "../platform/index.js";
 import { createReadBody } from "../router/filters/readBody.js";
 import { createOutageWatch, createSuspectTable } from "../scheduling/index.js";
 import { EventId } from "../telemetry/EventId.js";
@@ -10,6 +10,7 @@
 import type { DirectContext } from "./DirectContext.js";
 import type { DirectExchange } from "./DirectExchange.js";
 import { type DirectListeners, openListeners } from "./DirectListeners.js";
+import { type DirectMetrics, createDirectMetrics } from "./DirectMetrics.js";
 import type { DirectSettings } from "./DirectSettings.js";
 import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
@@ -50,7 +51,7 @@
     platform: DirectPlatform,
     logger: Logger,
 ): Promise<RunningProgram> {
-    const { service, codec, names } = platform;
+    const { codec, names } = platform;
     let isDraining = false;
     let stopping: Promise<void> | undefined;
     const holder = createRouteIndexHolder((document, source) => {
@@ -58,11 +59,20 @@
         logger.logEvent(EventId.DocumentApplied, { version: document.version, source, routes: document.routes.length });
     });
     const context = createContext(settings, names, logger, () => knowledge.countRouters());
-    const callers = createCallers(context, holder, () => knowledge.isOutdated());
+    const metrics: DirectMetrics = createDirectMetrics({
+        getConcurrent: () => callers.getConcurrent(),
+        getDocumentVersion: () => holder.getVersion(),
+        countEndpoints: () => context.directory.countRecords(),
+        countRouters: () => knowledge.countRouters(),
+        getPlatformAgeMs: () => knowledge.getPlatformAgeMs(),
+    });
+    const service = createCountedService(platform.service, metrics.recordStoreCall);
+    const callers = createCallers(context, holder, metrics, () => knowledge.isOutdated());
     const knowledge: Knowledge = startKnowledge({ settings, service, codec, holder, context, logger });
     const listeners: DirectListeners = await openListeners({
         settings,
         callers,
+        metrics: metrics.set,
         control: buildDirectControl(() => knowledge.getKnowledge()),
         isServing: () => !isDraining && holder.getIndex() !== undefined && context.directory.countRecords() > 0,
     });
@@ -124,8 +134,14 @@
     }
 }
 
-function createCallers(context: DirectContext, holder: RouteIndexHolder, isOutdated: () => boolean): CallerServer {
+function createCallers(
+    context: DirectContext,
+    holder: RouteIndexHolder,
+    metrics: DirectMetrics,
+    isOutdated: () => boolean,
+): CallerServer {
     const { names, logger, drawRandom } = context;
+    const log = createSettledLog(logger);
     return createCallerServer({
         names,
         getIndex: () => holder.getIndex(),
@@ -138,7 +154,10 @@
             })),
             createRunRequest(context),
         ],
-        onSettled: createSettledLog(logger).logSettled,
+        onSettled(settled) {
+            log.logSettled(settled);
+            metrics.recordSettled(settled);
+        },
         onFault: (error, exchange) => logger.logFailure(EventId.RequestFailed, error, { attempt: exchange.id }),
     });
 }
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -4,6 +4,7 @@
 import type { AgentRankLink } from "./AgentRankLink.js";
 import { type ExpertLoads, createExpertLoads } from "./ExpertLoads.js";
 import { ChangeEnd, computeQuietPasses, createMapChanger } from "./MapChange.js";
+import type { RankMetrics } from "./RankMetrics.js";
 import type { ExpertMap, RankCounts, RankReport } from "./RankReport.js";
 import { type PlanLimits, type SetPlan, computeSetRatio, planSet } from "./planMap.js";
 
@@ -24,6 +25,7 @@
     /** Links by rank. */
     links: readonly AgentRankLink[];
     isLeader: () => boolean;
+    metrics: Pick<RankMetrics, "recordChange">;
     logger: Logger;
 }
 
@@ -213,6 +215,7 @@
         const version = getNextVersion(reports);
         const planMs = Math.round(readMonotonicMs() - now);
         const result = await changer.changeMap(next, version);
+        options.metrics.recordChange(result.end);
         logger.logEvent(result.end === ChangeEnd.Changed ? EventId.GroupMapChanged : EventId.GroupChangeAbandoned, {
             group: options.group,
             epoch,
--- /dev/null
+++ b/src/groups/ordered/listMembers.ts
@@ -0,0 +1,52 @@
+import type { DirectCodec } from "../../direct/index.js";
+import type { KeyValueService } from "../../platform/index.js";
+import type { GroupLayout } from "./MapCoordinator.js";
+
+/** Hosts of a group's ranks, and the layout of its experts. */
+export interface GroupMembers {
+    /** IP addresses by rank. */
+    hosts: Map<number, string>;
+    /** Undefined if the service or its engine isn't in the document. */
+    layout: GroupLayout | undefined;
+}
+
+/**
+ * Lists the members of a group from the platform's store. Entries may be seconds old: each rank tells its own place.
+ * @param service - Platform's store.
+ * @param codec - Decodes entries.
+ * @param serviceName - Service to which the group belongs.
+ * @param group - Name of the group.
+ */
+export async function listMembers(
+    service: KeyValueService,
+    codec: DirectCodec,
+    serviceName: string,
+    group: string,
+): Promise<GroupMembers> {
+    const [endpoints, layout] = await Promise.all([
+        service.listSnapshot(codec.endpointPrefix, { isStaleAllowed: true }),
+        readLayout(service, codec, serviceName),
+    ]);
+    const hosts = new Map<number, string>();
+    for (const entry of endpoints.entries) {
+        const decoded = codec.decodeEndpoint(entry);
+        const member = "value" in decoded ? decoded.value : undefined;
+        if (member?.group?.name === group) {
+            hosts.set(member.group.rank, member.host);
+        }
+    }
+    return { hosts, layout };
+}
+
+async function readLayout(
+    service: KeyValueService,
+    codec: DirectCodec,
+    serviceName: string,
+): Promise<GroupLayout | undefined> {
+    const listing = await service.listSnapshot(codec.documentPrefix, { isStaleAllowed: true });
+    const entry = listing.entries.find(candidate => codec.isDocumentKey(candidate.key));
+    const decoded = entry && codec.decodeDocument(entry.value);
+    const document = decoded !== undefined && "value" in decoded ? decoded.value : undefined;
+    const engine = document?.services.find(candidate => candidate.name === serviceName)?.engine;
+    return engine?.experts && { ...engine.experts, slots: engine.slots };
+}
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -1,18 +1,16 @@
-import http from "node:http";
-import { startControlServer } from "../../control/index.js";
-import type { DirectCodec, RoutingDocument } from "../../direct/index.js";
-import type { KeyValueService } from "../../platform/index.js";
-import { EventId } from "../../telemetry/EventId.js";
-import type { Logger } from "../../telemetry/logger.js";
-import { listenOn } from "../../utils/http.js";
+import { openControlPort } from "../../control/index.js";
+import type { DirectCodec } from "../../direct/index.js";
+import { type KeyValueService, createCountedService } from "../../platform/index.js";
+import { EventId, type Logger, startMetricsServer } from "../../telemetry/index.js";
 import type { RunningProgram } from "../../utils/runUntilSignal.js";
-import { startFreezeWatch } from "../../utils/FreezeWatch.js";
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../../utils/time.js";
 import { type AgentRankLink, createAgentRankLink } from "./AgentRankLink.js";
-import { createLeadership } from "./Leadership.js";
 import { type MapCoordinator, createMapCoordinator } from "./MapCoordinator.js";
+import { type MapOffice, createMapOffice } from "./MapOffice.js";
 import type { RankLink } from "./RankLink.js";
+import { type RankMetrics, createRankMetrics } from "./RankMetrics.js";
 import type { RankReport } from "./RankReport.js";
+import { listMembers } from "./listMembers.js";
 import { buildRankControl } from "./rankControl.js";
 
 /** Settings of the agent of a rank. */
@@ -21,6 +19,7 @@
     address: string;
     /** Port of the control calls between agents, the same on every host. */
     controlPort: number;
+    metricsPort: number;
     processKey: string;
     /** Service of the rank beside the agent. */
     service: string;
@@ -39,13 +38,6 @@
 /** Further pause for each rank beyond the first, so that a large group's coordinator stays within its share, in milliseconds. */
 const ROUND_PER_RANK_MS = 2;
 const CALL_TIMEOUT_MS = 250;
-/** Time to live of the office's lease, in milliseconds: above the store's least one, and a few renewals long. */
-const LEASE_MS = 1_500;
-/** Silence of the coordinator after which the first rank tries to take over; the next ones wait longer, in milliseconds. */
-const SILENCE_MS = 800;
-const SILENCE_PER_RANK_MS = 250;
-/** Standstill after which a coordinator asks for its office again; well below the lease, in milliseconds. */
-const FROZEN_MS = 1_000;
 /** Time after which the members of a group that isn't whole are listed anew, in milliseconds. */
 const INCOMPLETE_MS = 1_000;
 /** Time between two listings of the group's members while some are unknown, in milliseconds. */
@@ -62,94 +54,81 @@
     platform: RankAgentPlatform,
     logger: Logger,
 ): Promise<RunningProgram> {
-    const { link } = platform;
-    const freeze = startFreezeWatch(FROZEN_MS);
-    let heardAt = readMonotonicMs();
-    let highestTerm = 0;
-    let ownReport: RankReport | undefined;
-    let coordinator: MapCoordinator | undefined;
-    let links: AgentRankLink[] = [];
-    let listedAt = Number.NEGATIVE_INFINITY;
-    let wholeAt = Number.NEGATIVE_INFINITY;
-    let leadership: ReturnType<typeof createLeadership> | undefined;
-    const server = http.createServer((request, response) => response.writeHead(404).end());
-    await listenOn(server, settings.controlPort, settings.address);
-    const control = startControlServer(server, buildRankControl({ link, acceptTerm }), [settings.processKey]);
+    const { address, controlPort, metricsPort, processKey } = settings;
+    const metrics: RankMetrics = createRankMetrics(() => office.isInOffice());
+    const service = createCountedService(platform.service, metrics.recordStoreCall);
+    const office: MapOffice = createMapOffice({
+        service,
+        holder: settings.host,
+        onLost(term) {
+            logger.logEvent(EventId.GroupCoordinatorLost, { term });
+            team.forget();
+        },
+    });
+    const team = createCoordination(settings, { ...platform, service }, office, metrics, logger);
+    const router = buildRankControl({ link: platform.link, acceptTerm: office.acceptTerm });
+    const [control, monitoring] = await Promise.all([
+        openControlPort({ address, port: controlPort, router, processKey }),
+        startMetricsServer(metrics.set, { isReady: () => true }, metricsPort, address),
+    ]);
     const loop: Loop = startLoop(ROUND_MS, runRound, error =>
         logger.logFailure(EventId.TaskFailed, error, { task: "map round" }),
     );
-    logger.logEvent(EventId.ProcessStarted, { service: settings.service, address: settings.address });
+    logger.logEvent(EventId.ProcessStarted, { service: settings.service, address });
     return {
         async stop() {
             logger.logEvent(EventId.ProcessDraining);
-            freeze.stop();
+            office.stop();
             await loop.stop();
-            links.forEach(member => member.close());
+            team.close();
             control.close();
-            server.close();
+            monitoring.close();
             logger.logEvent(EventId.ProcessStopped);
             await logger.flush();
         },
     };
 
-    function acceptTerm(term: number): boolean {
-        if (term < highestTerm) {
-            return false;
-        }
-        highestTerm = term;
-        heardAt = readMonotonicMs();
-        return true;
-    }
-
     async function runRound(): Promise<void> {
-        if (freeze.hasStoodStill()) {
-            // Another agent may have won the office meanwhile.
-            leaveOffice();
-            freeze.reset();
-        }
-        const isInOffice = leadership?.getTerm() !== undefined;
-        if (!isInOffice && !isCoordinatorSilent()) {
+        if (!office.isOwnTurn()) {
             return;
         }
-        ownReport = await link.readReport();
-        leadership ??= createLeadership({
-            service: platform.service,
-            key: `auburnpass/maps/${ownReport.group}`,
-            holder: settings.host,
-            ttlMs: LEASE_MS,
-        });
-        if (!isInOffice) {
-            // Whatever comes of this try, the next one waits as long as after a coordinator's word.
-            heardAt = readMonotonicMs();
-        }
-        if ((await keepOffice(leadership)) === undefined) {
+        const report = await platform.link.readReport();
+        const wasInOffice = office.getTerm() !== undefined;
+        const term = await office.holdOffice(report);
+        if (term === undefined) {
             return;
         }
-        await coordinate(ownReport, isInOffice);
+        if (!wasInOffice) {
+            logger.logEvent(EventId.GroupOfficeWon, { group: report.group, term });
+            team.forget();
+        }
+        await team.coordinate(report);
     }
+}
 
-    function isCoordinatorSilent(): boolean {
-        const waitMs = SILENCE_MS + SILENCE_PER_RANK_MS * (ownReport?.rank ?? 0);
-        return readMonotonicMs() - heardAt > waitMs;
-    }
+/** What the agent in office does for its group. */
+interface Coordination {
+    /** Looks at the group once, and changes its map if that pays. */
+    coordinate(report: RankReport): Promise<void>;
+    /** Drops what was known of the group's members and map. */
+    forget(): void;
+    close(): void;
+}
 
-    /** While the store is away, nobody can win the office, and the coordinator goes on. */
-    async function keepOffice(office: ReturnType<typeof createLeadership>): Promise<number | undefined> {
-        try {
-            return await office.holdOffice();
-        } catch (error) {
-            if (office.getTerm() === undefined) {
-                throw error;
-            }
-            return office.getTerm();
-        }
-    }
+function createCoordination(
+    settings: RankAgentSettings,
+    platform: RankAgentPlatform,
+    office: MapOffice,
+    metrics: RankMetrics,
+    logger: Logger,
+): Coordination {
+    let coordinator: MapCoordinator | undefined;
+    let links: AgentRankLink[] = [];
+    let listedAt = Number.NEGATIVE_INFINITY;
+    let wholeAt = Number.NEGATIVE_INFINITY;
+    return { coordinate, forget, close: closeLinks };
 
-    async function coordinate(report: RankReport, wasInOffice: boolean): Promise<void> {
-        if (!wasInOffice) {
-            logger.logEvent(EventId.GroupOfficeWon, { group: report.group, term: leadership?.getTerm() });
-            coordinator = undefined;
-        }
+    async function coordinate(report: RankReport): Promise<void> {
         const isDue = readMonotonicMs() - listedAt > LISTING_MS;
         if (coordinator === undefined && isDue) {
             listedAt = readMonotonicMs();
@@ -157,66 +136,43 @@
             wholeAt = readMonotonicMs();
         }
         const isWhole = (await coordinator?.runRound()) ?? false;
+        metrics.recordRound(isWhole);
         if (isWhole) {
             wholeAt = readMonotonicMs();
         } else if (readMonotonicMs() - wholeAt > INCOMPLETE_MS) {
             // A group that was formed anew may have other members, or the same ones in other places.
-            coordinator = undefined;
+            forget();
         }
         await waitFor(ROUND_PER_RANK_MS * links.length);
     }
 
     async function buildCoordinator(report: RankReport): Promise<MapCoordinator | undefined> {
-        links.forEach(member => member.close());
-        links = [];
-        const [entries, document] = await Promise.all([
-            platform.service.listSnapshot(platform.codec.endpointPrefix, { isStaleAllowed: true }),
-            readDocument(),
-        ]);
-        const engine = document?.services.find(service => service.name === settings.service)?.engine;
-        const layout = engine?.experts && { ...engine.experts, slots: engine.slots };
-        const addresses = new Map<number, string>();
-        for (const entry of entries.entries) {
-            const decoded = platform.codec.decodeEndpoint(entry);
-            const member = "value" in decoded ? decoded.value : undefined;
-            if (member?.group?.name === report.group) {
-                addresses.set(member.group.rank, `${member.host}:${settings.controlPort}`);
-            }
-        }
-        if (layout === undefined || addresses.size !== report.size) {
-            logger.logEvent(EventId.GroupIncomplete, { group: report.group, known: addresses.size, size: report.size });
+        closeLinks();
+        const { group, size } = report;
+        const { hosts, layout } = await listMembers(platform.service, platform.codec, settings.service, group);
+        if (layout === undefined || hosts.size !== size) {
+            logger.logEvent(EventId.GroupIncomplete, { group, known: hosts.size, size });
             return undefined;
         }
-        links = Array.from({ length: report.size }, (unused, rank) =>
+        links = Array.from({ length: size }, (unused, rank) =>
             createAgentRankLink({
-                address: addresses.get(rank) ?? "",
+                address: `${hosts.get(rank) ?? ""}:${settings.controlPort}`,
                 processKey: settings.processKey,
-                getTerm: () => leadership?.getTerm() ?? 0,
-                onSuperseded: leaveOffice,
+                getTerm: () => office.getTerm() ?? 0,
+                onSuperseded: office.leaveOffice,
                 timeoutMs: CALL_TIMEOUT_MS,
             }),
         );
-        return createMapCoordinator({
-            group: report.group,
-            layout,
-            links,
-            isLeader: () => leadership?.getTerm() !== undefined && !freeze.hasStoodStill(),
-            logger,
-        });
+        const { isInOffice: isLeader } = office;
+        return createMapCoordinator({ group, layout, links, isLeader, metrics, logger });
     }
 
-    async function readDocument(): Promise<RoutingDocument | undefined> {
-        const listing = await platform.service.listSnapshot(platform.codec.documentPrefix, { isStaleAllowed: true });
-        const entry = listing.entries.find(candidate => platform.codec.isDocumentKey(candidate.key));
-        const decoded = entry && platform.codec.decodeDocument(entry.value);
-        return decoded !== undefined && "value" in decoded ? decoded.value : undefined;
+    function forget(): void {
+        coordinator = undefined;
     }
 
-    function leaveOffice(): void {
-        if (leadership?.getTerm() !== undefined) {
-            logger.logEvent(EventId.GroupCoordinatorLost, { group: ownReport?.group, term: leadership.getTerm() });
-            leadership.leaveOffice();
-            coordinator = undefined;
-        }
+    function closeLinks(): void {
+        links.forEach(member => member.close());
+        links = [];
     }
 }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -1,9 +1,8 @@
-import http from "node:http";
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from "prom-client";
-import { listenOn } from "../utils/http.js";
+import type { MetricsSource } from "./MetricsSource.js";
 
 /** Metrics of a process. */
-export interface Metrics {
+export interface Metrics extends MetricsSource {
     registry: Registry;
     requests: Counter<"rank" | "outcome" | "cause">;
     attempts: Counter<"result">;
@@ -22,6 +21,8 @@
     collectDefaultMetrics({ register: registry });
     const registers = [registry];
     return {
+        contentType: registry.contentType,
+        renderText: () => registry.metrics(),
         registry,
         requests: new Counter({
             name: "auburnpass_requests_total",
@@ -61,44 +62,3 @@
         }),
     };
 }
-
-/** What the health endpoints of a process report. */
-export interface Health {
-    isReady(): boolean;
-}
-
-const STATUS_OK = 200;
-const STATUS_NOT_FOUND = 404;
-const STATUS_UNAVAILABLE = 503;
-
-/**
- * Starts the HTTP server for metrics, health and readiness.
- * @param metrics - Metrics to expose.
- * @param health - Readiness of the process.
- * @param port - Port to listen on.
- * @param address - IP address to listen on.
- */
-export async function startMetricsServer(
-    metrics: Metrics,
-    health: Health,
-    port: number,
-    address: string,
-): Promise<http.Server> {
-    const server = http.createServer((request, response) => {
-        if (request.url === "/metrics") {
-            void metrics.registry.metrics().then(text => {
-                response.writeHead(STATUS_OK, { "content-type": metrics.registry.contentType });
-                response.end(text);
-            });
-        } else if (request.url === "/healthz") {
-            response.writeHead(STATUS_OK).end("ok\n");
-        } else if (request.url === "/readyz") {
-            const isReady = health.isReady();
-            response.writeHead(isReady ? STATUS_OK : STATUS_UNAVAILABLE).end(isReady ? "ready\n" : "not ready\n");
-        } else {
-            response.writeHead(STATUS_NOT_FOUND).end();
-        }
-    });
-    await listenOn(server, port, address);
-    return server;
-}
--- a/tests/direct/failuresTests.ts
+++ b/tests/direct/failuresTests.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { sendHttpCall } from "../../src/utils/http.js";
 import type { EndpointScript, EndpointStandin } from "../../standins/endpoint/endpointStandin.js";
 import { callRouter, startDirectSystem } from "./fixtures.js";
 
@@ -15,7 +16,7 @@
 };
 
 /** Ends the whole endpoint in the middle of a request, as a crash does. */
-function crashEndpoint(endpoint: EndpointStandin): EndpointScript {
+function endAbruptly(endpoint: EndpointStandin): EndpointScript {
     return () => void endpoint.close();
 }
 
@@ -32,7 +33,7 @@
     const system = await startDirectSystem(t, 4);
     for (const endpoint of system.endpoints) {
         endpoint.setScript((seen, ...rest) =>
-            (seen.path.endsWith("crash") ? crashEndpoint(endpoint) : answerSuccess)(seen, ...rest),
+            (seen.path.endsWith("crash") ? endAbruptly(endpoint) : answerSuccess)(seen, ...rest),
         );
     }
     const first = await callRouter(system, { path: "/stock/crash" });
@@ -49,10 +50,36 @@
     let crashesLeft = 1;
     for (const endpoint of system.endpoints) {
         endpoint.setScript((seen, ...rest) =>
-            (crashesLeft-- > 0 ? crashEndpoint(endpoint) : answerSuccess)(seen, ...rest),
+            (crashesLeft-- > 0 ? endAbruptly(endpoint) : answerSuccess)(seen, ...rest),
         );
     }
     t.equal((await callRouter(system, { path: "/stock/1" })).status, 200, "the second endpoint answers");
     crashesLeft = 1;
     t.equal((await callRouter(system, { path: "/stock/1" })).status, 200, "one loss since the last whole run");
 });
+
+t.test("the metrics address tells outcomes, sends, teams and the state of the router", async t => {
+    const system = await startDirectSystem(t, 1);
+    system.endpoints[0]?.setScript(answerSuccess);
+    await callRouter(system, { path: "/stock/1" });
+    await callRouter(system, { path: "/nowhere/1" });
+    const scrape = await sendHttpCall({
+        method: "GET",
+        url: `http://127.0.0.1:${system.metricsPort}/metrics`,
+        timeoutMs: 2_000,
+    });
+    t.equal(scrape.status, 200);
+    const text = scrape.body.toString("utf8");
+    for (const line of [
+        'auburnpass_requests_total{route="stock",urgency="2",outcome="ran",cause="none"} 1',
+        'auburnpass_requests_total{route="none",urgency="",outcome="not-run",cause="unknown-target"} 1',
+        'auburnpass_team_requests_total{team="one",outcome="ran"} 1',
+        'auburnpass_sends_total{service="app",result="answered"} 1',
+        'auburnpass_first_byte_seconds_count{service="app",urgency="2"} 1',
+        "auburnpass_document_version 1",
+        "auburnpass_known_endpoints 1",
+    ]) {
+        t.ok(text.split("\n").includes(line), line);
+    }
+    t.match(text, /auburnpass_store_calls_total\{operation="list",result="answered"\} \d/);
+});
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -17,6 +17,7 @@
     router: RunningProgram;
     port: number;
     readinessPort: number;
+    metricsPort: number;
     /** Lines that the router has logged. */
     lines: string[];
     writeEndpoint(index: number, state?: string): Promise<void>;
@@ -70,7 +71,7 @@
     const endpoints = await Promise.all(
         Array.from({ length: endpointCount }, () => startEndpointStandin((seen, socket) => socket.destroy())),
     );
-    const [callers = 0, readiness = 0, control = 0, newsPort = 0] = await findFreePorts(4);
+    const [callers = 0, readiness = 0, control = 0, metrics = 0, newsPort = 0] = await findFreePorts(5);
     await writeDocument(1);
     for (const index of endpoints.keys()) {
         await writeEndpoint(index);
@@ -84,6 +85,7 @@
                 callers: { address: ADDRESS, port: callers },
                 readiness: { address: ADDRESS, port: readiness },
                 control: { address: ADDRESS, port: control },
+                metrics: { address: ADDRESS, port: metrics },
             },
             newsPort,
             seeds: [],
@@ -99,7 +101,17 @@
         await Promise.all([router.stop(), ...endpoints.map(endpoint => endpoint.close())]);
     });
     await waitUntilReady(readiness);
-    return { store, endpoints, router, port: callers, readinessPort: readiness, lines, writeEndpoint, writeDocument };
+    return {
+        store,
+        endpoints,
+        router,
+        port: callers,
+        readinessPort: readiness,
+        metricsPort: metrics,
+        lines,
+        writeEndpoint,
+        writeDocument,
+    };
 
     async function writeDocument(version: number, change?: (document: WireDocument) => void): Promise<void> {
         const document = buildDocument(version);
--- a/tests/groups/ordered/coordinatorTests.ts
+++ b/tests/groups/ordered/coordinatorTests.ts
@@ -51,7 +51,14 @@
             })(),
     );
     const logger = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
-    const coordinator = createMapCoordinator({ group: "g0", layout: LAYOUT, links, isLeader: () => true, logger });
+    const coordinator = createMapCoordinator({
+        group: "g0",
+        layout: LAYOUT,
+        links,
+        isLeader: () => true,
+        metrics: { recordChange: () => undefined },
+        logger,
+    });
     return { coordinator, orders };
 }
 
--- a/tests/groups/ordered/mapFaults.ts
+++ b/tests/groups/ordered/mapFaults.ts
@@ -160,6 +160,7 @@
         layout: LAYOUT,
         links: buildList(RANKS, rank => createLink(world, coordinator, rank)),
         isLeader: () => !coordinator.isDead,
+        metrics: { recordChange: () => undefined },
         logger: SILENT_LOGGER,
     });
     coordinator.runRound = () => core.runRound();
