--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -4,6 +4,7 @@
 import { Cause, Outcome, type Refusal, formatFractionalSeconds, getHeader, sendRefusal } from "../protocol/index.js";
 import { type Filter, runPipeline } from "../router/pipeline.js";
 import { readMonotonicMs } from "../utils/time.js";
+import { createConnectionList } from "./ConnectionList.js";
 import { type DirectExchange, createDirectExchange } from "./DirectExchange.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { RouteIndex } from "./RouteIndex.js";
@@ -33,7 +34,7 @@
     applyLimits(limits: CallerLimits): void;
     /** From now on each answer ends its connection. */
     startDraining(): void;
-    /** Stops listening and closes connections without a request. */
+    /** Stops listening; closes connections without a request now, and the others after their answer. */
     stopListening(): void;
     /** Waits until no request is in progress. */
     waitUntilIdle(): Promise<void>;
@@ -58,6 +59,8 @@
 export function createCallerServer(options: CallerServerOptions): CallerServer {
     let concurrent = 0;
     let isDraining = false;
+    let isClosing = false;
+    const connections = createConnectionList();
     let headerBytes = MAX_HEADER_BYTES;
     let idleWaiters: (() => void)[] = [];
     const server = http.createServer(
@@ -69,6 +72,7 @@
         },
         (request, response) => void handle(request, response),
     );
+    server.on("connection", connections.addConnection);
     server.on("clientError", rejectMalformed);
     return {
         server,
@@ -82,8 +86,9 @@
             isDraining = true;
         },
         stopListening() {
+            isClosing = true;
             server.close();
-            server.closeIdleConnections();
+            connections.closeIdle();
         },
         waitUntilIdle() {
             return concurrent === 0 ? Promise.resolve() : new Promise(resolve => idleWaiters.push(resolve));
@@ -91,6 +96,14 @@
     };
 
     async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const { socket } = request;
+        connections.beginRequest(socket);
+        response.once("close", () => {
+            connections.endRequest(socket);
+            if (isClosing) {
+                connections.closeIdle();
+            }
+        });
         response.on("error", () => undefined);
         if (isDraining) {
             response.setHeader("connection", "close");
--- /dev/null
+++ b/src/direct/ConnectionList.ts
@@ -0,0 +1,38 @@
+import type { Socket } from "node:net";
+
+/** Open connections of callers, and which of them have a request in progress. */
+export interface ConnectionList {
+    addConnection(socket: Socket): void;
+    beginRequest(socket: Socket): void;
+    endRequest(socket: Socket): void;
+    /** Closes the connections without a request in progress, also those that never had one. */
+    closeIdle(): void;
+}
+
+/** Creates an empty list. */
+export function createConnectionList(): ConnectionList {
+    const requests = new Map<Socket, number>();
+    return {
+        addConnection(socket) {
+            requests.set(socket, 0);
+            socket.once("close", () => requests.delete(socket));
+        },
+        beginRequest: socket => changeCount(socket, 1),
+        endRequest: socket => changeCount(socket, -1),
+        closeIdle() {
+            for (const [socket, count] of requests) {
+                if (count === 0) {
+                    // Nothing more is read, so a request that crosses the close is not taken.
+                    socket.destroySoon();
+                }
+            }
+        },
+    };
+
+    function changeCount(socket: Socket, change: number): void {
+        const count = requests.get(socket);
+        if (count !== undefined) {
+            requests.set(socket, count + change);
+        }
+    }
+}
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -43,6 +43,8 @@
     attempts: ExchangeAttempt[];
     /** Events of a stream that were passed on. */
     events: number;
+    /** Longest time between two passes of events to the caller, in milliseconds. */
+    longestPauseMs: number;
     /** Monotonic time of the first byte to the caller, in milliseconds. */
     firstByteAt: number | undefined;
     /** Cause of an answer that was cut. */
@@ -80,6 +82,7 @@
         isTimeOver: false,
         attempts: [],
         events: 0,
+        longestPauseMs: 0,
         firstByteAt: undefined,
         failure: undefined,
         shortenDeadline(at) {
@@ -112,6 +115,16 @@
     return exchange.route !== undefined;
 }
 
+/**
+ * Tells whether an answer came later than it is worth most: its first byte, or an event after a pause.
+ * @param exchange - Exchange that is settled.
+ */
+export function isAnswerLate(exchange: RoutedExchange): boolean {
+    const { firstByteAt, arrivedAt, waitedBeforeMs, longestPauseMs, route } = exchange;
+    const isFirstByteLate = firstByteAt !== undefined && waitedBeforeMs + firstByteAt - arrivedAt > route.targetMs;
+    return isFirstByteLate || (route.maxPauseMs > 0 && longestPauseMs > route.maxPauseMs);
+}
+
 /**
  * Gets the urgency of a request: its team's goes before its route's.
  * @param exchange - Exchange with a route.
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -2,6 +2,7 @@
 import { Cause, Outcome } from "../protocol/index.js";
 import { type MetricSet, createMetricSet } from "../telemetry/MetricSet.js";
 import type { SettledDirectExchange } from "./CallerServer.js";
+import { getSettledCause } from "./SettledLog.js";
 import { type DirectExchange, getUrgency, isRouted } from "./DirectExchange.js";
 
 /** Metrics of a direct router. */
@@ -59,10 +60,12 @@
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
     };
 
-    function recordSettled({ exchange, refusal }: SettledDirectExchange): void {
+    function recordSettled(settled: SettledDirectExchange): void {
+        const { exchange, refusal } = settled;
         const urgency = isRouted(exchange) ? String(getUrgency(exchange)) : "";
-        const cause = refusal?.cause ?? exchange.failure ?? (exchange.isCallerGone ? Cause.CallerGone : Cause.None);
-        const outcome = refusal?.outcome ?? (cause === Cause.None ? Outcome.Ran : Outcome.Unknown);
+        const cause = getSettledCause(settled);
+        const isAnswered = cause === Cause.None || cause === Cause.Late;
+        const outcome = refusal?.outcome ?? (isAnswered ? Outcome.Ran : Outcome.Unknown);
         requests.addAmount({ route: exchange.route?.name ?? NO_ROUTE, urgency, outcome, cause });
         teams.addAmount({ team: exchange.team?.name ?? NO_TEAM, outcome });
         for (const { end } of exchange.attempts) {
--- a/src/direct/SettledLog.ts
+++ b/src/direct/SettledLog.ts
@@ -1,14 +1,14 @@
 import { Cause } from "../protocol/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import type { SettledDirectExchange } from "./CallerServer.js";
-import type { ExchangeAttempt } from "./DirectExchange.js";
+import { type ExchangeAttempt, isAnswerLate, isRouted } from "./DirectExchange.js";
 
 /** Log of what became of requests. */
 export interface SettledLog {
     logSettled(settled: SettledDirectExchange): void;
 }
 
-/** Lines a second for requests that went well; what is left out is counted in the next line. */
+/** Lines a second for requests that went well, and for those that were late; what is left out is counted in the next line. */
 const LINES_PER_SECOND = 20;
 const MS_PER_SECOND = 1_000;
 
@@ -17,25 +17,28 @@
  * @param logger - Log of the process.
  */
 export function createSettledLog(logger: Logger): SettledLog {
-    let windowStart = 0;
-    let lines = 0;
+    const fine = createAllowance();
+    const late = createAllowance();
     let leftOut = 0;
     return { logSettled };
 
     function logSettled(settled: SettledDirectExchange): void {
         const { exchange, refusal, endedAt } = settled;
-        const cause = refusal?.cause ?? exchange.failure ?? (exchange.isCallerGone ? Cause.CallerGone : Cause.None);
+        const cause = getSettledCause(settled);
         const isFine = cause === Cause.None && exchange.attempts.length === 1;
-        if (isFine && !takeLine(endedAt)) {
+        if ((isFine && !fine.takeLine(endedAt)) || (cause === Cause.Late && !late.takeLine(endedAt))) {
             leftOut++;
             return;
         }
-        const event = cause === Cause.None ? EventId.RequestAnswered : EventId.RequestRefused;
+        const isAnswered = cause === Cause.None || cause === Cause.Late;
+        const event = isAnswered ? EventId.RequestAnswered : EventId.RequestRefused;
         logger.logEvent(event, {
             attempt: exchange.id,
             route: exchange.route?.name,
             team: exchange.team?.name,
             version: exchange.index.document.version,
+            patienceMs: Math.round(exchange.patienceMs),
+            waitedBeforeMs: Math.round(exchange.waitedBeforeMs),
             status: exchange.response.headersSent ? exchange.response.statusCode : undefined,
             outcome: refusal?.outcome,
             cause,
@@ -45,20 +48,40 @@
                 exchange.firstByteAt === undefined ? undefined : Math.round(exchange.firstByteAt - exchange.arrivedAt),
             lastedMs: Math.round(endedAt - exchange.arrivedAt),
             events: exchange.events,
+            longestPauseMs: Math.round(exchange.longestPauseMs),
             sends: exchange.attempts.map(describeAttempt).join("; "),
             leftOut,
         });
         leftOut = 0;
     }
+}
 
-    function takeLine(now: number): boolean {
-        if (now - windowStart >= MS_PER_SECOND) {
-            windowStart = now;
-            lines = 0;
-        }
-        lines++;
-        return lines <= LINES_PER_SECOND;
+/**
+ * Gets the reason why the caller got less than a whole answer in time.
+ * @param settled - What became of the exchange.
+ */
+export function getSettledCause({ exchange, refusal }: SettledDirectExchange): Cause {
+    const broken = refusal?.cause ?? exchange.failure ?? (exchange.isCallerGone ? Cause.CallerGone : undefined);
+    if (broken !== undefined) {
+        return broken;
     }
+    return isRouted(exchange) && isAnswerLate(exchange) ? Cause.Late : Cause.None;
+}
+
+/** Lines that may be written in a second. */
+function createAllowance(): { takeLine(now: number): boolean } {
+    let windowStart = 0;
+    let lines = 0;
+    return {
+        takeLine(now) {
+            if (now - windowStart >= MS_PER_SECOND) {
+                windowStart = now;
+                lines = 0;
+            }
+            lines++;
+            return lines <= LINES_PER_SECOND;
+        },
+    };
 }
 
 function describeAttempt(attempt: ExchangeAttempt): string {
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -19,6 +19,7 @@
     const { response } = exchange;
     const whole = createWholeRelay(exchange);
     let lastEvent: string | undefined;
+    let lastEventAt: number | undefined;
 
     return new (class StreamRelay extends AnswerRelay {
         override relayAnswer(answer: OpenedAnswer, isLast: boolean): Promise<RelayEnd> {
@@ -64,7 +65,7 @@
                 }
                 sendHead(answer, status);
                 lastEvent = events.lastId ?? lastEvent;
-                exchange.events += events.count;
+                recordEvents(events.count);
                 if (!response.write(events.bytes)) {
                     answer.pause();
                 }
@@ -87,6 +88,13 @@
         });
     }
 
+    function recordEvents(count: number): void {
+        const now = readMonotonicMs();
+        exchange.events += count;
+        exchange.longestPauseMs = Math.max(exchange.longestPauseMs, now - (lastEventAt ?? now));
+        lastEventAt = now;
+    }
+
     /** The head of the first endpoint holds for the whole answer, also when another one goes on. */
     function sendHead(answer: http.IncomingMessage, status: number): void {
         if (!response.headersSent && !exchange.isCallerGone) {
--- a/tests/direct/answersTests.ts
+++ b/tests/direct/answersTests.ts
@@ -1,6 +1,8 @@
 import http from "node:http";
+import net from "node:net";
 import t from "tap";
 import type { EndpointScript, SeenRequest } from "../../standins/endpoint/endpointStandin.js";
+import { waitFor } from "../../src/utils/time.js";
 import { callRouter, startDirectSystem } from "./fixtures.js";
 
 const BODY = "the whole answer";
@@ -184,3 +186,29 @@
     await stopping;
     await t.rejects(callRouter(system, { path: "/stock/3" }));
 });
+
+t.test("a planned stop closes connections whose answer had begun before it, and ones without a request", async t => {
+    const system = await startDirectSystem(t, 1);
+    system.endpoints[0]?.setScript((seen, socket, response) => {
+        const { "attempt-id": attempt } = seen.headers;
+        response.writeHead(200, { "attempt-id": attempt, "server-stamp": "s-1", "content-type": "text/event-stream" });
+        response.write(buildEvents(1, 2));
+        setTimeout(() => response.end(buildEvents(3, 4)), seen.path.endsWith("long") ? 1_800 : 600);
+    });
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    t.teardown(() => agent.destroy());
+    const unused = net.connect(system.port, "127.0.0.1");
+    unused.on("error", () => undefined);
+    const unusedClosed = new Promise(resolve => unused.once("close", resolve));
+    const long = callRouter(system, { path: "/advice/long", headers: { "deadline-ms": "4000" } });
+    const streaming = callRouter(system, { path: "/advice/1", agent });
+    await waitFor(200);
+    const stopping = system.router.stop();
+    t.match(await streaming, { status: 200, isWhole: true, headers: { connection: "keep-alive" } });
+    await waitFor(50);
+    await t.rejects(callRouter(system, { path: "/stock/2", agent }), "no request is taken on the old connection");
+    await unusedClosed;
+    t.equal(await Promise.race([long.then(() => "ended"), waitFor(0).then(() => "running")]), "running");
+    t.ok((await long).isWhole);
+    await stopping;
+});
--- a/tests/direct/decisionsTests.ts
+++ b/tests/direct/decisionsTests.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import t from "tap";
+import { createRandom } from "../../bench/scheduling/Random.js";
 import { DirectoryChange, createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
 import { createEndpointHealth } from "../../src/direct/EndpointHealth.js";
 import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
@@ -171,6 +172,24 @@
     t.end();
 });
 
+t.test("callers who differ in patience don't count as come back, and those who come back do", t => {
+    const patience = createPatienceTracker();
+    const random = createRandom(1);
+    const waited: number[] = [];
+    for (let caller = 0; caller < 1_000; caller++) {
+        const found = patience.recordPatience("r", 6_800 + 1_200 * random.draw());
+        if (caller >= 100) {
+            waited.push(found);
+        }
+    }
+    t.ok(waited.filter(ms => ms > 0).length < 0.2 * waited.length);
+    t.ok(Math.max(...waited) < 400, "never as late as a usual target");
+    for (let caller = 0; caller < 30; caller++) {
+        t.ok(patience.recordPatience("r", 5_000) > 800, "many who come back are all recognised");
+    }
+    t.end();
+});
+
 t.test("events pass whole, whatever the pieces in which they come", t => {
     const event = fc
         .record({ id: fc.nat(), data: fc.stringMatching(/^[a-z ]{0,30}$/) })
