--- a/src/groups/ordered/AgentRankLink.ts
+++ b/src/groups/ordered/AgentRankLink.ts
@@ -1,5 +1,6 @@
 import { type ControlClient, createControlClient } from "../../control/index.js";
 import { ErrorCode, createError } from "../../errors/index.js";
+import { type CountsDelta, createCountsDecoder } from "./CountsDelta.js";
 import { RankLink } from "./RankLink.js";
 import {
     type OrderCondition,
@@ -8,9 +9,11 @@
     type RankCounts,
     type RankExperts,
     type RankOrder,
+    RankOrderKind,
     type RankReport,
 } from "./RankReport.js";
-import type { RankControl, RankLook } from "./rankControl.js";
+import { encodeMap } from "./PackedMap.js";
+import type { RankControl, RankLook, WireOrder } from "./rankControl.js";
 
 /** Link to a rank through the agent beside it. */
 export abstract class AgentRankLink extends RankLink {
@@ -36,6 +39,7 @@
  * @param options - Address and term.
  */
 export function createAgentRankLink(options: AgentRankLinkOptions): AgentRankLink {
+    const decoder = createCountsDecoder();
     const client: ControlClient<RankControl> = createControlClient(options.address, options.processKey);
 
     return new (class ControlRankLink extends AgentRankLink {
@@ -52,7 +56,7 @@
             if (counts === undefined) {
                 throw createSilence("counts");
             }
-            return { report, counts };
+            return { report, counts: decoder.decodeCounts(counts) };
         }
 
         override async readExperts(): Promise<RankExperts> {
@@ -67,7 +71,7 @@
                 return (await client.call<unknown>(
                     (control, signal) =>
                         control.sendOrder.mutate(
-                            { term: options.getTerm(), order: order as never, condition },
+                            { term: options.getTerm(), order: encodeOrder(order) as never, condition },
                             { signal },
                         ),
                     options.timeoutMs,
@@ -83,7 +87,7 @@
         }
     })();
 
-    async function lookAt(hasCounts: boolean): Promise<{ report: RankReport; counts: RankCounts | undefined }> {
+    async function lookAt(hasCounts: boolean): Promise<{ report: RankReport; counts: CountsDelta | undefined }> {
         const look = (await client.call<unknown>(
             (control, signal) => control.look.query({ term: options.getTerm(), hasCounts }, { signal }),
             options.timeoutMs,
@@ -105,3 +109,7 @@
         });
     }
 }
+
+function encodeOrder(order: RankOrder): WireOrder {
+    return order.kind === RankOrderKind.Prepare ? { ...order, map: encodeMap(order.map) } : order;
+}
--- a/src/groups/ordered/MapChange.ts
+++ b/src/groups/ordered/MapChange.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { runLimited } from "../../utils/runLimited.js";
 import { readMonotonicMs, waitFor } from "../../utils/time.js";
 import type { RankLink } from "./RankLink.js";
 import {
@@ -71,6 +72,8 @@
     settleGroup(map: ExpertMap, version: number): Promise<SettleResult>;
 }
 
+/** Ranks that are sent a map at the same time: with larger groups the link of the coordinator's host would fill. */
+const MAX_PREPARING = 16;
 /** Most times that the lead is doubled because the pass to be held had begun. */
 const MAX_DOUBLED_LEADS = 1;
 
@@ -165,7 +168,8 @@
             return { isSettled: false, detail: "not all ranks answer in one open group" };
         }
         const epoch = reports[0]?.epoch ?? 0;
-        const until = readMonotonicMs() + options.switchMs;
+        // Only a group that may be held or about to switch is in a hurry.
+        const until = readMonotonicMs() + (reports.some(isBound) ? options.switchMs : options.prepareMs);
         try {
             if (isArmedAlike(reports)) {
                 // The change was confirmed by all, so its release may be on its way: nothing may be taken back.
@@ -176,7 +180,7 @@
             if (isLoose) {
                 await holdGroup(reports, epoch, until);
             }
-            await Promise.all(links.map((link, rank) => freeRank(rank, map, version, epoch, until)));
+            await runLimited(links, MAX_PREPARING, (link, rank) => freeRank(rank, map, version, epoch, until));
             const held = await readReports(epoch);
             if (held === undefined || held.some(isArmed)) {
                 return { isSettled: false, detail: "a rank is armed again or silent" };
@@ -221,11 +225,8 @@
 
     /** Waits for all orders, also when one fails, so that none is under way when the change ends. */
     async function orderAll(order: RankOrder, epoch: number, until: number): Promise<void> {
-        const orders = links.map((link, rank) => orderRank(rank, order, epoch, until));
-        const failed = (await Promise.allSettled(orders)).find(result => result.status === "rejected");
-        if (failed !== undefined) {
-            throw failed.reason;
-        }
+        const limit = order.kind === RankOrderKind.Prepare ? MAX_PREPARING : links.length;
+        await runLimited(links, limit, (link, rank) => orderRank(rank, order, epoch, until));
     }
 
     /**
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -59,10 +59,8 @@
 const VERSION_PERIOD_MS = 100;
 const VERSION_START = 17_000_000_000;
 
-/** Numbers that are read in one round, some 60 KB: of groups with many experts only some ranks are sampled. */
-const COUNTS_PER_ROUND = 16_384;
-/** Rounds in which the same ranks are sampled; counts since a rank's last sample should be recent ones. */
-const ROUNDS_PER_SAMPLE = 20;
+/** Counts that are read in one round, some 44 KB: of groups with many experts the ranks take turns. */
+const COUNTS_PER_ROUND = 32_768;
 
 /** Look at all ranks of a group in the same epoch, with the counts of some. */
 interface GroupLook {
@@ -155,7 +153,7 @@
     function chooseSampled(): Set<number> {
         const perRound = Math.max(1, Math.floor(COUNTS_PER_ROUND / (layout.layerSets * layout.experts)));
         const count = Math.min(links.length, perRound);
-        const first = Math.floor(rounds++ / ROUNDS_PER_SAMPLE) * count;
+        const first = rounds++ * count;
         return new Set(Array.from({ length: count }, (unused, offset) => (first + offset) % links.length));
     }
 
--- a/src/groups/ordered/rankControl.ts
+++ b/src/groups/ordered/rankControl.ts
@@ -1,15 +1,16 @@
 import { z } from "zod";
 import { buildRouter, processProcedure } from "../../control/index.js";
+import { type CountsDelta, createCountsEncoder } from "./CountsDelta.js";
 import type { RankLink } from "./RankLink.js";
 import {
     OrderAnswer,
     type OrderResult,
-    type RankCounts,
     type RankExperts,
     type RankOrder,
     RankOrderKind,
     type RankReport,
 } from "./RankReport.js";
+import { type PackedMap, decodeMap } from "./PackedMap.js";
 
 /** Receivers of the control calls of a rank's agent. */
 export interface RankControlOptions {
@@ -21,20 +22,39 @@
     acceptTerm: (term: number) => boolean;
 }
 
+/** An order on its way to an agent, whose map is packed. */
+export type WireOrder =
+    Exclude<RankOrder, { map: unknown }> | { kind: RankOrderKind.Prepare; version: number; map: PackedMap };
+
 /** Answer to a look at a rank. */
 export interface RankLook {
     isAccepted: boolean;
     report: RankReport | undefined;
-    counts: RankCounts | undefined;
+    counts: CountsDelta | undefined;
 }
 
+const count = z.number().int().min(0);
 const version = z.number().int();
 const step = z.number().int();
 const orderSchema = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal(RankOrderKind.Prepare),
         version,
-        map: z.array(z.array(z.array(z.number().int()))),
+        map: z
+            .object({
+                layerSets: count,
+                ranks: count,
+                width: z.union([z.literal(1), z.literal(2)]),
+                numbers: z.base64(),
+            })
+            .transform((packed, context) => {
+                const map = decodeMap(packed);
+                if (map === undefined) {
+                    context.addIssue("expected as many experts as the counts tell");
+                    return z.NEVER;
+                }
+                return map;
+            }),
     }),
     z.object({ kind: z.literal(RankOrderKind.Arm), version, step }),
     z.object({ kind: z.literal(RankOrderKind.Disarm), version }),
@@ -49,6 +69,7 @@
  */
 export function buildRankControl(options: RankControlOptions) {
     const { link, acceptTerm } = options;
+    const encoder = createCountsEncoder();
     return buildRouter({
         look: processProcedure
             .input(termSchema.extend({ hasCounts: z.boolean() }))
@@ -56,11 +77,10 @@
                 if (!acceptTerm(input.term)) {
                     return { isAccepted: false, report: undefined, counts: undefined };
                 }
-                const [report, counts] = await Promise.all([
-                    link.readReport(),
-                    input.hasCounts ? link.readCounts() : undefined,
-                ]);
-                return { isAccepted: true, report, counts };
+                // The counts are read at each look, so that those of a sample tell of the time since the last look.
+                const [report, counts] = await Promise.all([link.readReport(), link.readCounts()]);
+                const delta = encoder.encodeCounts(counts);
+                return { isAccepted: true, report, counts: input.hasCounts ? delta : undefined };
             }),
         readExperts: processProcedure.query((): Promise<RankExperts> => link.readExperts()),
         sendOrder: processProcedure
@@ -78,7 +98,7 @@
                         report: undefined,
                     };
                 }
-                return link.sendOrder(input.order as RankOrder, input.condition);
+                return link.sendOrder(input.order, input.condition);
             }),
     });
 }
