--- a/src/direct/Knowledge.ts
+++ b/src/direct/Knowledge.ts
@@ -50,6 +50,7 @@
     const news: PeerNews = startPeerNews({
         address: settings.address,
         port: settings.newsPort,
+        zone: settings.zone,
         seeds: settings.seeds.map(seed => seed.address),
         buildNews,
         onNews: takeNews,
--- a/src/peers/PeerNews.ts
+++ b/src/peers/PeerNews.ts
@@ -29,6 +29,8 @@
     port: number;
     /** Addresses of routers that are known without having been heard. */
     seeds: readonly string[];
+    /** Availability zone of this router. */
+    zone: string;
     buildNews: () => Omit<RouterNews, "address" | "routers">;
     onNews: (news: RouterNews) => void;
     logger: Logger;
@@ -53,13 +55,18 @@
 }
 
 /**
- * Period of the news for each router that is told, in milliseconds: a router takes in about 330 datagrams a second,
- * a few hundredths of its processor time, however many routers there are.
+ * Period of the news for each router of the own zone, in milliseconds: a router takes in at most some 200 such
+ * datagrams a second, about a hundredth of its processor time.
  */
-const PERIOD_PER_ROUTER_MS = 3;
+const PERIOD_PER_ROUTER_MS = 5;
 /** Bounds of the period, in milliseconds: loads change little in the shorter one, and are of no use after the longer. */
 const LEAST_PERIOD_MS = 50;
 const MOST_PERIOD_MS = 400;
+/**
+ * Period for each router of any zone, in milliseconds, in which routers of other zones are told: bytes between zones
+ * are charged, and few requests go there.
+ */
+const OTHER_ZONE_PERIOD_PER_ROUTER_MS = 12;
 /** Addresses of other routers in one datagram; a new router knows all of a hundred within a second. */
 const ADDRESSES_PER_NEWS = 8;
 /** Silence after which a router is no longer written to, in milliseconds. */
@@ -77,17 +84,18 @@
     const heard = new Map<string, Heard>();
     let mostRouters = 1;
     let nextAddress = 0;
+    let toldAllAt = Number.NEGATIVE_INFINITY;
     const socket = dgram.createSocket("udp4");
     socket.on("error", error => logger.logFailure(EventId.TaskFailed, error, { task: "peer news" }));
     socket.on("message", (bytes, sender) => takeDatagram(bytes, sender.address));
     socket.bind(options.port, options.address);
     const loop: Loop = startLoop(
-        computePeriod,
-        () => Promise.resolve(sendNow()),
+        () => computePeriod(PERIOD_PER_ROUTER_MS, [...known.keys()].filter(isInZone).length),
+        () => Promise.resolve(sendDue()),
         error => logger.logFailure(EventId.TaskFailed, error, { task: "peer news" }),
     );
     return {
-        sendNow,
+        sendNow: () => sendTo(() => true),
         addAddress,
         listHeard,
         countRouters: () => mostRouters,
@@ -97,7 +105,20 @@
         },
     };
 
-    function sendNow(): void {
+    function sendDue(): void {
+        const now = readMonotonicMs();
+        const isForAll = now - toldAllAt >= computePeriod(OTHER_ZONE_PERIOD_PER_ROUTER_MS, known.size);
+        if (isForAll) {
+            toldAllAt = now;
+        }
+        sendTo(address => isForAll || isInZone(address));
+    }
+
+    function isInZone(address: string): boolean {
+        return heard.get(address)?.news.zone === options.zone;
+    }
+
+    function sendTo(isWanted: (address: string) => boolean): void {
         const now = readMonotonicMs();
         for (const [address, at] of known) {
             if (now - at > FORGET_MS) {
@@ -111,16 +132,12 @@
             logger.logEvent(EventId.TaskFailed, { task: "peer news", problem: `${bytes.length} bytes don't fit` });
             return;
         }
-        for (const address of new Set([...seeds, ...known.keys()])) {
+        for (const address of [...new Set([...seeds, ...known.keys()])].filter(isWanted)) {
             // A datagram that can't be sent is followed by the next one.
             socket.send(bytes, options.port, address, () => undefined);
         }
     }
 
-    function computePeriod(): number {
-        return Math.min(MOST_PERIOD_MS, Math.max(LEAST_PERIOD_MS, PERIOD_PER_ROUTER_MS * known.size));
-    }
-
     /** Lists the routers heard, some at a time, so that a datagram stays small in a large fleet. */
     function listSomeHeard(): string[] {
         const addresses = [...heard.keys()];
@@ -158,6 +175,10 @@
     }
 }
 
+function computePeriod(perRouterMs: number, routers: number): number {
+    return Math.min(MOST_PERIOD_MS, Math.max(LEAST_PERIOD_MS, perRouterMs * routers));
+}
+
 function parseNews(bytes: Buffer): RouterNews | undefined {
     try {
         const parsed = newsSchema.safeParse(JSON.parse(bytes.toString("utf8")));
