--- a/bench/fleet/FleetProcess.ts
+++ b/bench/fleet/FleetProcess.ts
@@ -18,6 +18,8 @@
     name: string;
     script: string;
     args: string[];
+    /** Variables of the environment beside those of this process. */
+    env?: Record<string, string>;
     /** File that receives what the process prints. */
     logFile: string;
 }
@@ -30,6 +32,7 @@
     const log = createWriteStream(options.logFile, { flags: "a" });
     const child: ChildProcess = spawn(process.execPath, [options.script, ...options.args], {
         stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, ...options.env },
     });
     child.stdout?.pipe(log, { end: false });
     child.stderr?.pipe(log, { end: false });
--- /dev/null
+++ b/bench/soak/SoakFaults.ts
@@ -0,0 +1,178 @@
+import { match } from "ts-pattern";
+import { waitFor } from "../../src/utils/time.js";
+import type { Random } from "../scheduling/Random.js";
+import type { SoakFleet, SoakRouter } from "./SoakFleet.js";
+import type { SoakPlatform } from "./SoakPlatform.js";
+
+/** What the soak does to the system from outside. */
+export enum FaultKind {
+    /** Planned: SIGTERM, and a new start when the process has ended. */
+    RouterStop = "router-stop",
+    RouterKill = "router-kill",
+    RouterFreeze = "router-freeze",
+    /** The link of one router to the store. */
+    StoreCut = "store-cut",
+    StoreSilence = "store-silence",
+    StoreDelay = "store-delay",
+    /** The store turns all calls away. */
+    StoreDown = "store-down",
+    StoreHistoryLost = "store-history-lost",
+    EndpointCrash = "endpoint-crash",
+    EndpointCut = "endpoint-cut",
+    EndpointSilence = "endpoint-silence",
+    EndpointDelay = "endpoint-delay",
+    EndpointSpoils = "endpoint-spoils",
+    /** Planned: an endpoint announces that it leaves, and another one comes. */
+    EndpointLeaves = "endpoint-leaves",
+    /** Planned: a team's key is taken away, and given back later. */
+    KeyRevoked = "key-revoked",
+}
+
+/** A fault that was played; times are monotonic, in milliseconds. */
+export interface PlayedFault {
+    kind: FaultKind;
+    /** Router or endpoint; undefined for the store. */
+    target: string | undefined;
+    from: number;
+    until: number;
+}
+
+/** Plays faults one after the other, overlapping, until it is stopped. */
+export interface SoakFaults {
+    played: PlayedFault[];
+    /** Starts no more faults and waits for the ends of those that last. */
+    stop(): Promise<void>;
+}
+
+/** Options of the faults. */
+export interface SoakFaultsOptions {
+    fleet: SoakFleet;
+    platform: SoakPlatform;
+    random: Random;
+    /** Mean time between two faults, in milliseconds. */
+    meanGapMs: number;
+}
+
+const LEAST_MS = 300;
+const MEAN_MS = 1_200;
+const MOST_MS = 3_000;
+const DELAY_MS = 150;
+const SPOILED_PART = 0.3;
+const RESTART_MS = 300;
+const STATUS_UNAVAILABLE = 503;
+
+/** Faults that are announced to the system, and excuse nothing. */
+export const PLANNED = new Set([FaultKind.RouterStop, FaultKind.EndpointLeaves, FaultKind.KeyRevoked]);
+
+/**
+ * Starts to play faults.
+ * @param options - Fleet and seeded random numbers.
+ */
+export function startSoakFaults(options: SoakFaultsOptions): SoakFaults {
+    const { fleet, platform, random } = options;
+    const kinds = Object.values(FaultKind);
+    const played: PlayedFault[] = [];
+    const lasting = new Set<Promise<void>>();
+    let timer: NodeJS.Timeout | undefined;
+    planNext();
+    return {
+        played,
+        async stop() {
+            clearTimeout(timer);
+            await Promise.all(lasting);
+        },
+    };
+
+    function planNext(): void {
+        timer = setTimeout(() => {
+            const kind = kinds[random.drawIndex(kinds.map(() => 1))];
+            if (kind !== undefined) {
+                const fault = playFault(kind);
+                lasting.add(fault);
+                void fault.finally(() => lasting.delete(fault));
+            }
+            planNext();
+        }, random.drawExponential(options.meanGapMs));
+    }
+
+    async function playFault(kind: FaultKind): Promise<void> {
+        const lastsMs = Math.min(MOST_MS, LEAST_MS + random.drawExponential(MEAN_MS));
+        const router = fleet.routers[random.drawIndex(fleet.routers.map(() => 1))];
+        const endpoint = platform.drawEndpoint(random);
+        const fault: PlayedFault = {
+            kind,
+            target: undefined,
+            from: performance.now(),
+            until: Number.POSITIVE_INFINITY,
+        };
+        if (router === undefined || endpoint === undefined) {
+            return;
+        }
+        fault.target = kind.startsWith("endpoint") ? endpoint.id : router.name;
+        played.push(fault);
+        await match(kind)
+            .with(FaultKind.RouterStop, () => endRouter(router, "SIGTERM"))
+            .with(FaultKind.RouterKill, () => endRouter(router, "SIGKILL"))
+            .with(FaultKind.RouterFreeze, () => holdRouter(router, lastsMs))
+            .with(FaultKind.StoreCut, () => playCut(router.storeLink, lastsMs))
+            .with(FaultKind.StoreSilence, () => Promise.resolve(router.storeLink.silenceOpen()))
+            .with(FaultKind.StoreDelay, () => playDelay(router.storeLink, lastsMs))
+            .with(FaultKind.StoreDown, () => playStoreDown(lastsMs))
+            .with(FaultKind.StoreHistoryLost, () => playHistoryLost(lastsMs))
+            .with(FaultKind.EndpointCrash, () => platform.dropEndpoint(endpoint))
+            .with(FaultKind.EndpointCut, () => playCut(endpoint.link, lastsMs))
+            .with(FaultKind.EndpointSilence, () => Promise.resolve(endpoint.link.silenceOpen()))
+            .with(FaultKind.EndpointDelay, () => playDelay(endpoint.link, lastsMs))
+            .with(FaultKind.EndpointSpoils, async () => {
+                endpoint.spoiledPart = SPOILED_PART;
+                await waitFor(lastsMs);
+                endpoint.spoiledPart = 0;
+            })
+            .with(FaultKind.EndpointLeaves, () => platform.replaceEndpoint(endpoint))
+            .with(FaultKind.KeyRevoked, () => platform.removeKey(lastsMs))
+            .exhaustive();
+        fault.until = performance.now();
+    }
+
+    async function endRouter(router: SoakRouter, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
+        if (router.isEnding) {
+            return;
+        }
+        router.isEnding = true;
+        router.process.signal(signal);
+        await router.process.waitForExit();
+        await waitFor(RESTART_MS);
+        await fleet.restartRouter(router);
+    }
+
+    async function holdRouter(router: SoakRouter, lastsMs: number): Promise<void> {
+        const { process } = router;
+        process.signal("SIGSTOP");
+        await waitFor(lastsMs);
+        process.signal("SIGCONT");
+    }
+
+    async function playCut(link: { cut(): void; restore(): void }, lastsMs: number): Promise<void> {
+        link.cut();
+        await waitFor(lastsMs);
+        link.restore();
+    }
+
+    async function playDelay(link: { faults: { delayMs: number }; restore(): void }, lastsMs: number): Promise<void> {
+        link.faults.delayMs = DELAY_MS;
+        await waitFor(lastsMs);
+        link.restore();
+    }
+
+    async function playStoreDown(lastsMs: number): Promise<void> {
+        fleet.store.faults.status = STATUS_UNAVAILABLE;
+        await waitFor(lastsMs);
+        fleet.store.faults.status = undefined;
+    }
+
+    async function playHistoryLost(lastsMs: number): Promise<void> {
+        fleet.store.faults.isHistoryLost = true;
+        await waitFor(lastsMs);
+        fleet.store.faults.isHistoryLost = false;
+    }
+}
--- /dev/null
+++ b/bench/soak/SoakPlatform.ts
@@ -0,0 +1,167 @@
+import { waitFor } from "../../src/utils/time.js";
+import type { KeyValueStore } from "../../standins/platform/KeyValueStore.js";
+import type { Random } from "../scheduling/Random.js";
+import type { RunRecord } from "./RunRecord.js";
+import { type SoakEndpoint, startSoakEndpoint } from "./SoakEndpoint.js";
+
+/** An announcement of the operator or of an endpoint, and when the store took it (monotonic, in milliseconds). */
+export interface Announcement {
+    kind: "leaving" | "revoked" | "restored";
+    /** Endpoint or key. */
+    subject: string;
+    at: number;
+}
+
+/** What the operator and the endpoints write into the store. */
+export interface SoakPlatform {
+    announcements: Announcement[];
+    /** Draws an endpoint that is in service. */
+    drawEndpoint(random: Random): SoakEndpoint | undefined;
+    /** The endpoint goes without a word, and comes back under another identifier. */
+    dropEndpoint(endpoint: SoakEndpoint): Promise<void>;
+    /** Another endpoint comes, and this one announces that it leaves, serves on for a time and goes. */
+    replaceEndpoint(endpoint: SoakEndpoint): Promise<void>;
+    /** Takes the second team's key away for a time. */
+    removeKey(lastsMs: number): Promise<void>;
+    close(): Promise<void>;
+}
+
+/** Options of the platform. */
+export interface SoakPlatformOptions {
+    store: KeyValueStore;
+    record: RunRecord;
+    random: Random;
+    endpoints: number;
+}
+
+/** Keys of the two teams. */
+export const LASTING_KEY = "key-of-team-one";
+export const REVOKED_KEY = "key-of-team-two";
+/** Time in which a leaving endpoint still serves, in milliseconds: the usual bound of draining and some more. */
+const LEAVING_MS = 3_500;
+const GONE_MS = 1_000;
+const SLOTS = 20;
+const ZONES = ["a", "b", "c"];
+
+/**
+ * Starts endpoints and writes the first document.
+ * @param options - Store and sizes.
+ */
+export async function startSoakPlatform(options: SoakPlatformOptions): Promise<SoakPlatform> {
+    const { store, random } = options;
+    const announcements: Announcement[] = [];
+    const serving: SoakEndpoint[] = [];
+    const all: SoakEndpoint[] = [];
+    let count = 0;
+    let version = 1;
+    let isRevoked = false;
+    await writeDocument([LASTING_KEY, REVOKED_KEY]);
+    for (let index = 0; index < options.endpoints; index++) {
+        await addEndpoint();
+    }
+    return { announcements, drawEndpoint, dropEndpoint, replaceEndpoint, removeKey, close };
+
+    function drawEndpoint(by: Random): SoakEndpoint | undefined {
+        return serving[by.drawIndex(serving.map(() => 1))];
+    }
+
+    async function addEndpoint(): Promise<void> {
+        const endpoint = await startSoakEndpoint(`i-${count++}`, options.record, random);
+        all.push(endpoint);
+        serving.push(endpoint);
+        await writeEndpoint(endpoint, "ready");
+    }
+
+    async function dropEndpoint(endpoint: SoakEndpoint): Promise<void> {
+        if (!takeOut(endpoint)) {
+            return;
+        }
+        await endpoint.close();
+        await waitFor(GONE_MS);
+        await writeKey(`servers/${endpoint.id}`, undefined);
+        await addEndpoint();
+    }
+
+    async function replaceEndpoint(endpoint: SoakEndpoint): Promise<void> {
+        if (!takeOut(endpoint)) {
+            return;
+        }
+        await addEndpoint();
+        await writeEndpoint(endpoint, "draining");
+        announcements.push({ kind: "leaving", subject: endpoint.id, at: performance.now() });
+        await waitFor(LEAVING_MS);
+        await writeKey(`servers/${endpoint.id}`, undefined);
+        await endpoint.close();
+    }
+
+    /** An endpoint goes once only. */
+    function takeOut(endpoint: SoakEndpoint): boolean {
+        const place = serving.indexOf(endpoint);
+        if (place >= 0) {
+            serving.splice(place, 1);
+        }
+        return place >= 0;
+    }
+
+    async function removeKey(lastsMs: number): Promise<void> {
+        if (isRevoked) {
+            return;
+        }
+        isRevoked = true;
+        await writeDocument([LASTING_KEY]);
+        announcements.push({ kind: "revoked", subject: REVOKED_KEY, at: performance.now() });
+        await waitFor(lastsMs + LEAVING_MS);
+        announcements.push({ kind: "restored", subject: REVOKED_KEY, at: performance.now() });
+        await writeDocument([LASTING_KEY, REVOKED_KEY]);
+        isRevoked = false;
+    }
+
+    function writeEndpoint(endpoint: SoakEndpoint, state: string): Promise<void> {
+        const address = `127.0.0.1:${endpoint.port}`;
+        const zone = ZONES[count % ZONES.length];
+        const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1 };
+        return writeKey(`servers/${endpoint.id}`, JSON.stringify(entry));
+    }
+
+    function writeDocument(keys: readonly string[]): Promise<void> {
+        version += 2;
+        return writeKey("op/config", JSON.stringify(buildDocument(version, keys)));
+    }
+
+    async function writeKey(key: string, value: string | undefined): Promise<void> {
+        const current = await store.getEntry(key);
+        await store.swapEntry({ key, expectedRevision: current?.revision ?? 0, value });
+    }
+
+    async function close(): Promise<void> {
+        await Promise.all(all.map(endpoint => endpoint.close()));
+    }
+}
+
+function buildDocument(version: number, keys: readonly string[]): unknown {
+    const base = { host: "shop.example", slo_ms: 300, service: "app" };
+    return {
+        version,
+        routes: [
+            { ...base, name: "stock", path_prefix: "/stock/", route_kind: "safe", timeout_ms: 2_000, max_attempts: 2 },
+            { ...base, name: "book", path_prefix: "/book/", route_kind: "unsafe", timeout_ms: 2_000 },
+            {
+                ...base,
+                name: "advice",
+                path_prefix: "/advice/",
+                route_kind: "streaming",
+                resumable: true,
+                timeout_ms: 5_000,
+                max_attempts: 2,
+            },
+        ],
+        services: [{ name: "app", health_path: "/healthz", max_conns: 500 }],
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 100_000,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        tenants: keys.map(key => ({ name: key === LASTING_KEY ? "one" : "two", api_keys: [key] })),
+    };
+}
