--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -30,6 +30,8 @@
         /** Time between the signal and the last moment at which the process may still run, in milliseconds. */
         graceMs: z.number().min(0),
     }),
+    /** Time in which every router is to know that an endpoint leaves, in milliseconds. */
+    leavingMs: z.number().min(0),
     /** Time after a return of the platform's store in which lapsed entries come back, in milliseconds. */
     lapseGraceMs: z.number().min(0),
 });
--- a/src/direct/Knowledge.ts
+++ b/src/direct/Knowledge.ts
@@ -46,7 +46,14 @@
     const { settings, service, codec, holder, context, logger } = options;
     const { directory, load, suspects } = context;
     let isLeaving = false;
-    const sync: StoreSync = startStoreSync({ service, codec, holder, directory, logger });
+    const sync: StoreSync = startStoreSync({
+        service,
+        codec,
+        holder,
+        directory,
+        leavingMs: settings.leavingMs,
+        logger,
+    });
     const news: PeerNews = startPeerNews({
         address: settings.address,
         port: settings.newsPort,
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -12,6 +12,8 @@
     codec: DirectCodec;
     holder: RouteIndexHolder;
     directory: EndpointDirectory;
+    /** Time in which a leaving endpoint is to be known, in milliseconds. */
+    leavingMs: number;
     logger: Logger;
 }
 
@@ -29,8 +31,13 @@
 const DOCUMENT_PERIOD_MS = 50;
 /** Bounds the silence by which an outage is seen. */
 const ENDPOINT_WAIT_MS = 2_000;
-/** Endpoints renew their entries all the time; a third of the two seconds in which a leaving endpoint binds. */
-const ENDPOINT_PERIOD_MS = 650;
+/**
+ * Part of the time in which a leaving endpoint is to be known that passes between two calls: endpoints renew their
+ * entries all the time, so each call is answered at once.
+ */
+const ENDPOINT_PERIOD_PART = 0.45;
+/** Longest such period, in milliseconds; well below the silence from which the store counts as out of reach. */
+const MAX_ENDPOINT_PERIOD_MS = 900;
 
 /**
  * Starts the synchronisation.
@@ -58,7 +65,7 @@
         service,
         prefix: codec.endpointPrefix,
         waitMs: ENDPOINT_WAIT_MS,
-        periodMs: ENDPOINT_PERIOD_MS,
+        periodMs: Math.min(MAX_ENDPOINT_PERIOD_MS, ENDPOINT_PERIOD_PART * options.leavingMs),
         listener: {
             onListing(entries) {
                 const records = entries.map(readEndpoint).filter(record => record !== undefined);
--- a/standins/network/linkStandin.ts
+++ b/standins/network/linkStandin.ts
@@ -69,31 +69,43 @@
     }
 
     function forward(connection: Connection, from: net.Socket, to: net.Socket): void {
+        /** Pieces on their way, in order; a later one never overtakes an earlier one, also when a delay ends. */
+        const pieces: { dueAt: number; run: () => void }[] = [];
         from.setNoDelay(true);
-        from.on("data", (chunk: Buffer) => send(connection, () => to.write(chunk)));
-        from.on("end", () => send(connection, () => to.end()));
+        from.on("data", (chunk: Buffer) => send(() => to.write(chunk)));
+        from.on("end", () => send(() => to.end()));
         from.on("error", () => undefined);
         from.on("close", () => {
             if (!connection.isSilent) {
-                send(connection, () => to.destroy());
+                send(() => to.destroy());
                 connections.delete(connection);
             }
         });
-    }
 
-    function send(connection: Connection, run: () => void): void {
-        if (connection.isSilent) {
-            return;
+        function send(run: () => void): void {
+            if (faults.delayMs === 0 && pieces.length === 0) {
+                runUnlessSilent(run);
+                return;
+            }
+            pieces.push({ dueAt: performance.now() + faults.delayMs, run });
+            setTimeout(sendDue, faults.delayMs);
         }
-        if (faults.delayMs === 0) {
-            run();
-            return;
+
+        function sendDue(): void {
+            for (let next = pieces[0]; next !== undefined && next.dueAt <= performance.now(); next = pieces[0]) {
+                pieces.shift();
+                runUnlessSilent(next.run);
+            }
+            if (pieces.length > 0) {
+                setTimeout(sendDue, Math.max(1, (pieces[0]?.dueAt ?? 0) - performance.now()));
+            }
         }
-        setTimeout(() => {
+
+        function runUnlessSilent(run: () => void): void {
             if (!connection.isSilent) {
                 run();
             }
-        }, faults.delayMs);
+        }
     }
 
     function endConnection(connection: Connection): void {
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -92,6 +92,7 @@
             processKey: "key-of-the-tests",
             retries: { ratio: 0.2, burst: 1_000, windowMs: 10_000 },
             drain: { noticeMs: 300, graceMs: 3_000 },
+            leavingMs: 2_000,
             lapseGraceMs: 2_000,
         },
         { service: store, codec: createPlatformCodec(logger), names: WIRE_HEADERS },
