--- a/src/bin/auburnpass.ts
+++ b/src/bin/auburnpass.ts
@@ -17,6 +17,7 @@
     $ auburnpass promote TRIAL_VERSION PRODUCTION_VERSION
     $ auburnpass status
     $ auburnpass explain [--from TIME] [--to TIME] [--team NAME] [--rank RANK]
+    $ auburnpass explain --logs FILE [--logs FILE] [--request ID] [--team NAME] [--from TIME] [--to TIME]
     $ auburnpass teams
     $ auburnpass drain HOST
     $ auburnpass digest KEY
@@ -26,6 +27,8 @@
     --key KEY       key of the operator (or AUBURNPASS_KEY)
     --environment   trial or production (trial)
     --base VERSION  version that you saw; 0 for none
+    --logs FILE     logs of the processes, or - for the standard input
+    --request ID    identifier of one attempt
     --json          prints the answer as JSON
 
   Exit codes: 0 done, 1 refused or failed, 2 wrong use
@@ -43,6 +46,8 @@
             to: { type: "string" },
             team: { type: "string" },
             rank: { type: "string" },
+            logs: { type: "string", isMultiple: true },
+            request: { type: "string" },
             json: { type: "boolean", default: false },
         },
     },
@@ -55,8 +60,8 @@
     process.exit(ExitCode.WrongUse);
 }
 try {
-    const { environment, base, from, to, team, rank } = cli.flags;
-    const result = await command({ input, environment, version: base, from, to, team, rank, getClient });
+    const { base, ...flags } = cli.flags;
+    const result = await command({ ...flags, input, version: base, logs: flags.logs ?? [], getClient });
     process.stdout.write(cli.flags.json ? `${JSON.stringify(result.value)}\n` : `${result.lines.join("\n")}\n`);
     process.exit(result.code);
 } catch (error) {
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,6 +2,8 @@
 import type { ChangeReport } from "../admin/promote.js";
 import { ChangeStatus, createDifference } from "../admin/promote.js";
 import { checkEnvironment, formatFinding } from "../config/index.js";
+import { type LogSelection, explainLogs, readLogLines } from "../logs/index.js";
+import { EventId } from "../telemetry/EventId.js";
 import { computeKeyDigest } from "../utils/digest.js";
 import { ExitCode } from "../utils/program.js";
 import type { AdminClient } from "./AdminClient.js";
@@ -23,6 +25,10 @@
     to: string | undefined;
     team: string | undefined;
     rank: string | undefined;
+    /** Files of logs, or `-` for the standard input; none to ask a router. */
+    logs: readonly string[];
+    /** Identifier of an attempt. */
+    request: string | undefined;
     /** Creates the client; only commands that need a router call it. */
     getClient: () => AdminClient;
 }
@@ -31,6 +37,7 @@
 export type Command = (options: CommandOptions) => Promise<CommandResult> | CommandResult;
 
 const HOUR_MS = 3_600_000;
+const STANDARD_INPUT = 0;
 
 /** Commands by name. */
 export const COMMANDS: Record<string, Command> = {
@@ -39,7 +46,7 @@
     apply: applyFile,
     promote: promoteDocument,
     status: showStatus,
-    explain: explainPeriod,
+    explain: options => (options.logs.length > 0 ? explainFromLogs(options) : explainPeriod(options)),
     teams: listTeams,
     drain: drainHost,
     digest: showDigest,
@@ -136,6 +143,30 @@
     return { code: ExitCode.Done, lines, value: answer };
 }
 
+function explainFromLogs(options: CommandOptions): CommandResult {
+    const text = options.logs.map(file => readFileSync(file === "-" ? STANDARD_INPUT : file, "utf8")).join("\n");
+    const { lines: logLines, unreadable } = readLogLines(text);
+    const selection: LogSelection = {
+        attempt: options.request,
+        team: options.team,
+        from: options.from === undefined ? undefined : Date.parse(options.from),
+        to: options.to === undefined ? undefined : Date.parse(options.to),
+    };
+    const explanations = explainLogs(logLines, selection);
+    const lines = explanations.map(
+        ({ cause, requests, evidence, example }, index) =>
+            `${index + 1}. ${cause}: ${requests} requests, ${evidence} lines of the system; first ` +
+            `${new Date(example.at).toISOString()} ${example.host} ${EventId[example.event]} ${JSON.stringify(example.facts)}`,
+    );
+    if (lines.length === 0) {
+        lines.push("no request of the selection was refused, failed or late");
+    }
+    if (unreadable > 0) {
+        lines.push(`${unreadable} lines could not be read`);
+    }
+    return { code: ExitCode.Done, lines, value: { explanations, unreadable } };
+}
+
 async function listTeams(options: CommandOptions): Promise<CommandResult> {
     const stored = await options.getClient().getDocument(options.environment);
     const document = checkEnvironment("document", stored.text).value;
--- /dev/null
+++ b/src/logs/index.ts
@@ -0,0 +1,2 @@
+export * from "./LogLine.js";
+export * from "./explainLogs.js";
