--- /dev/null
+++ b/bench/scheduling/paceSimulation.ts
@@ -0,0 +1,86 @@
+import { createPaceControl } from "../../src/scheduling/index.js";
+import { type Random, createRandom } from "./Random.js";
+
+/** A group in lock-step under load. */
+export interface PaceLoad {
+    seed: number;
+    /** Requests in all batches together. */
+    slots: number;
+    /** Time of a pass without requests, and what each part of the slots in use adds, in milliseconds. */
+    emptyPassMs: number;
+    fullPassMs: number;
+    /** Passes of a stream. */
+    passes: number;
+    /** Requests a second. */
+    perSecond: number;
+    durationMs: number;
+    /** Time to the first event and between events in which an answer is in time, in milliseconds. */
+    targetMs: number;
+    maxPauseMs: number;
+    isControlled: boolean;
+}
+
+/** What callers got, as parts of the requests. */
+export interface PaceResult {
+    inTime: number;
+    late: number;
+    refused: number;
+}
+
+interface Stream {
+    arrivedAt: number;
+    passesLeft: number;
+    isLate: boolean;
+    hasStarted: boolean;
+}
+
+/**
+ * Plays a load pass by pass. Without control, requests wait in the queue of the engines; with it, they wait for the time
+ * of the target and are refused then.
+ * @param load - Group and load.
+ */
+export function playPace(load: PaceLoad): PaceResult {
+    const random: Random = createRandom(load.seed);
+    const pace = createPaceControl();
+    const meanGapMs = 1_000 / load.perSecond;
+    let waiting: Stream[] = [];
+    let running: Stream[] = [];
+    let nextArrival = random.drawExponential(meanGapMs);
+    const counts = { inTime: 0, late: 0, refused: 0 };
+    for (let now = 0; now < load.durationMs;) {
+        for (; nextArrival <= now; nextArrival += random.drawExponential(meanGapMs)) {
+            waiting.push({ arrivedAt: nextArrival, passesLeft: load.passes, isLate: false, hasStarted: false });
+        }
+        const part = load.isControlled ? (pace.getAllowedPart("llm", now) ?? 1) : 1;
+        if (load.isControlled) {
+            const oldest = now - load.targetMs + load.maxPauseMs;
+            counts.refused += waiting.filter(stream => stream.arrivedAt < oldest).length;
+            waiting = waiting.filter(stream => stream.arrivedAt >= oldest);
+        }
+        running = [...running, ...waiting.splice(0, Math.max(0, Math.floor(load.slots * part) - running.length))];
+        const passMs = load.emptyPassMs + ((load.fullPassMs - load.emptyPassMs) * running.length) / load.slots;
+        now += passMs;
+        running.forEach(stream => runPass(stream, passMs, now));
+        const ended = running.filter(stream => stream.passesLeft === 0);
+        running = running.filter(stream => stream.passesLeft > 0);
+        counts.late += ended.filter(stream => stream.isLate).length;
+        counts.inTime += ended.filter(stream => !stream.isLate).length;
+    }
+    const total = counts.inTime + counts.late + counts.refused;
+    return { inTime: counts.inTime / total, late: counts.late / total, refused: counts.refused / total };
+
+    function runPass(stream: Stream, passMs: number, now: number): void {
+        if (stream.hasStarted) {
+            pace.recordPause(passMs, load.maxPauseMs, {
+                service: "llm",
+                now,
+                getUsedPart: () => running.length / load.slots,
+                fixedPart: load.emptyPassMs / load.fullPassMs,
+            });
+            stream.isLate ||= passMs > load.maxPauseMs;
+        }
+        stream.isLate ||= !stream.hasStarted && now - stream.arrivedAt > load.targetMs;
+        stream.hasStarted = true;
+        stream.passesLeft--;
+    }
+}
--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -20,6 +20,9 @@
 /** Time after which another endpoint is likely to have room or to be known, in milliseconds. */
 const RETRY_MS = 250;
 
+/** Part of the caller's time that it can be asked to wait; callers obey no longer delay. */
+const RETURN_PART = 0.3;
+
 /** What one send to an endpoint came to. */
 enum SendEnd {
     Answered = "answered",
@@ -67,6 +70,11 @@
     if (outageMs !== undefined) {
         return createRefusal(state, Cause.NoEndpoint, "no endpoint of the service takes work", outageMs);
     }
+    if (!(await context.admission.waitForRoom(exchange))) {
+        return exchange.isCallerGone
+            ? undefined
+            : createRefusal(state, Cause.Overload, "no endpoint had room in time", computeReturn(exchange));
+    }
     for (;;) {
         const next = findNextSend(exchange, context, state, digest);
         if ("refusal" in next) {
@@ -89,6 +97,17 @@
     }
 }
 
+function recordFirst(exchange: RoutedExchange, context: DirectContext, sentAt: number): void {
+    if (exchange.firstByteAt !== undefined && exchange.firstByteAt > sentAt && exchange.events > 0) {
+        context.admission.recordFirst(exchange.service, exchange.firstByteAt - sentAt);
+    }
+}
+
+/** A caller that comes back is late in any case, so it comes when the peak is likelier to be over. */
+function computeReturn(exchange: RoutedExchange): number {
+    return Math.max(RETRY_MS, (exchange.deadlineAt - readMonotonicMs()) * RETURN_PART);
+}
+
 /** Finds the endpoint of the next send, or the reason why there is none. */
 function findNextSend(
     exchange: RoutedExchange,
@@ -170,7 +189,9 @@
         return end;
     } finally {
         context.load.endRequest(endpoint.id);
+        context.admission.recordEnd(exchange.service);
         const now = readMonotonicMs();
+        recordFirst(exchange, context, sentAt);
         exchange.attempts.push({
             endpoint: endpoint.id,
             end: kind,
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -1,10 +1,11 @@
-import type { OutageWatch, SuspectTable } from "../scheduling/index.js";
+import type { OutageWatch, PaceControl, SuspectTable } from "../scheduling/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadBoard } from "./LoadBoard.js";
 import type { RetryShare } from "./RetryShare.js";
+import type { StreamAdmission } from "./StreamAdmission.js";
 
 /** Parts that the filters of a direct router share. */
 export interface DirectContext {
@@ -17,6 +18,8 @@
     retries: RetryShare;
     suspects: SuspectTable;
     outages: OutageWatch;
+    pace: PaceControl;
+    admission: StreamAdmission;
     logger: Logger;
     /** Random number from 0 to 1. */
     drawRandom: () => number;
--- a/src/direct/filters/runRequest.ts
+++ b/src/direct/filters/runRequest.ts
@@ -1,7 +1,8 @@
+import { readMonotonicMs } from "../../utils/time.js";
 import type { Filter } from "../../router/pipeline.js";
 import { runAttempts } from "../AttemptLoop.js";
 import type { DirectContext } from "../DirectContext.js";
-import { type DirectExchange, isRouted } from "../DirectExchange.js";
+import { type DirectExchange, type RoutedExchange, isRouted } from "../DirectExchange.js";
 import { RouteKind } from "../RoutingDocument.js";
 import { createStreamRelay } from "../relay/StreamRelay.js";
 import { createWholeRelay } from "../relay/WholeRelay.js";
@@ -17,7 +18,24 @@
         }
         context.retries.recordRequest(exchange.service);
         const isStream = exchange.route.kind === RouteKind.Stream;
-        const relay = isStream ? createStreamRelay(exchange, context.names.lastEvent) : createWholeRelay(exchange);
+        const relay = isStream
+            ? createStreamRelay(exchange, context.names.lastEvent, pauseMs => recordPause(exchange, pauseMs))
+            : createWholeRelay(exchange);
         return runAttempts(exchange, context, relay);
     };
+
+    function recordPause(exchange: RoutedExchange, pauseMs: number): void {
+        const { service, route, index } = exchange;
+        const engine = index.document.services.find(candidate => candidate.name === service)?.engine;
+        if (route.maxPauseMs === 0 || engine === undefined) {
+            return;
+        }
+        const perBatchMs = engine.perSequenceMs * engine.slots;
+        context.pace.recordPause(pauseMs, route.maxPauseMs, {
+            service,
+            now: readMonotonicMs(),
+            getUsedPart: () => context.admission.computeUsedPart(service),
+            fixedPart: engine.stepMs / (engine.stepMs + perBatchMs),
+        });
+    }
 }
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -14,8 +14,13 @@
  * with the events of another endpoint that follow the last one passed on.
  * @param exchange - Exchange that waits for the stream.
  * @param lastEventHeader - Name of the header that names the last event received.
+ * @param onPause - Receives each time between two passes of events, in milliseconds.
  */
-export function createStreamRelay(exchange: DirectExchange, lastEventHeader: string): AnswerRelay {
+export function createStreamRelay(
+    exchange: DirectExchange,
+    lastEventHeader: string,
+    onPause: (pauseMs: number) => void,
+): AnswerRelay {
     const { response } = exchange;
     const whole = createWholeRelay(exchange);
     let lastEvent: string | undefined;
@@ -91,7 +96,10 @@
     function recordEvents(count: number): void {
         const now = readMonotonicMs();
         exchange.events += count;
-        exchange.longestPauseMs = Math.max(exchange.longestPauseMs, now - (lastEventAt ?? now));
+        if (lastEventAt !== undefined) {
+            exchange.longestPauseMs = Math.max(exchange.longestPauseMs, now - lastEventAt);
+            onPause(now - lastEventAt);
+        }
         lastEventAt = now;
     }
 
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -1,6 +1,6 @@
 import { type KeyValueService, createCountedService } from "../platform/index.js";
 import { createReadBody } from "../router/filters/readBody.js";
-import { createOutageWatch, createSuspectTable } from "../scheduling/index.js";
+import { createOutageWatch, createPaceControl, createSuspectTable } from "../scheduling/index.js";
 import { EventId } from "../telemetry/EventId.js";
 import type { Logger } from "../telemetry/logger.js";
 import type { RunningProgram } from "../utils/runUntilSignal.js";
@@ -21,6 +21,7 @@
 import { createRetryShare } from "./RetryShare.js";
 import { type RouteIndexHolder, createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
+import { createStreamAdmission } from "./StreamAdmission.js";
 import { buildDirectControl } from "./directControl.js";
 import { createFindRoute } from "./filters/findRoute.js";
 import { createFindTeam } from "./filters/findTeam.js";
@@ -109,12 +110,17 @@
     countRouters: () => number,
 ): DirectContext {
     const health = createEndpointHealth();
+    const directory = createEndpointDirectory({ onChange: recordChange, lapseGraceMs: settings.lapseGraceMs });
+    const load = createLoadBoard();
+    const pace = createPaceControl();
     return {
         host: settings.host,
         zone: settings.zone,
         names,
-        directory: createEndpointDirectory({ onChange: recordChange, lapseGraceMs: settings.lapseGraceMs }),
-        load: createLoadBoard(),
+        directory,
+        load,
+        pace,
+        admission: createStreamAdmission({ directory, load, pace }),
         health,
         retries: createRetryShare({
             ...settings.retries,
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -8,3 +8,4 @@
 export * from "./SuspectTable.js";
 export * from "./TeamUsage.js";
 export * from "./OutageWatch.js";
+export * from "./PaceControl.js";
--- /dev/null
+++ b/tests/direct/admissionTests.ts
@@ -0,0 +1,96 @@
+import t from "tap";
+import type { RoutedExchange } from "../../src/direct/DirectExchange.js";
+import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
+import { createLoadBoard } from "../../src/direct/LoadBoard.js";
+import { createStreamAdmission } from "../../src/direct/StreamAdmission.js";
+
+/** A service of one endpoint with two slots, of which a part is allowed. */
+function startAdmission() {
+    const directory = createEndpointDirectory({ onChange: () => undefined, lapseGraceMs: 0 });
+    const load = createLoadBoard();
+    directory.applyRecord(
+        {
+            id: "i-1",
+            service: "llm",
+            host: "127.0.0.1",
+            port: 1,
+            zone: "a",
+            slots: 2,
+            isLeaving: false,
+            bornAt: 1,
+            group: undefined,
+        },
+        0,
+    );
+    let allowedPart: number | undefined = 1;
+    const pace = { recordPause: () => undefined, getAllowedPart: () => allowedPart };
+    const admission = createStreamAdmission({ directory, load, pace });
+    return {
+        load,
+        admission,
+        setAllowedPart(part: number | undefined) {
+            allowedPart = part;
+        },
+    };
+}
+
+function buildExchange(urgency: number, change: Partial<RoutedExchange> = {}): RoutedExchange {
+    return {
+        service: "llm",
+        deadlineAt: performance.now() + 5_000,
+        ending: new AbortController(),
+        route: { urgency, targetMs: 300, maxPauseMs: 120 },
+        ...change,
+    } as RoutedExchange;
+}
+
+t.test("nobody waits while nothing is limited, or for a service without pauses", async t => {
+    const { admission, load, setAllowedPart } = startAdmission();
+    ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
+    setAllowedPart(undefined);
+    t.equal(await admission.waitForRoom(buildExchange(0)), true);
+    setAllowedPart(1);
+    const plain = buildExchange(0);
+    plain.route = { ...plain.route, maxPauseMs: 0 };
+    t.equal(await admission.waitForRoom(plain), true);
+});
+
+t.test("the most urgent request is let in first when one ends", async t => {
+    const { admission, load } = startAdmission();
+    ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
+    const order: number[] = [];
+    const waits = [2, 0, 1].map(async urgency => {
+        if (await admission.waitForRoom(buildExchange(urgency))) {
+            order.push(urgency);
+            load.startRequest("i-1");
+        }
+    });
+    ["1", "2"].forEach(() => load.endRequest("i-1"));
+    admission.recordEnd("llm");
+    await Promise.all(waits);
+    t.strictSame(order, [0], "one slot, one request; the others are told within their time");
+});
+
+t.test("the wait ends when the answer couldn't come in time any more, or the caller leaves", async t => {
+    const { admission, load } = startAdmission();
+    ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
+    for (let stream = 0; stream < 200; stream++) {
+        admission.recordFirst("llm", 200);
+    }
+    const startedAt = performance.now();
+    t.equal(await admission.waitForRoom(buildExchange(0)), false);
+    t.ok(performance.now() - startedAt < 200, "the target less the usual time to the first event");
+    const leaving = buildExchange(0, { route: { urgency: 0, targetMs: 60_000, maxPauseMs: 120 } as never });
+    const left = admission.waitForRoom(leaving);
+    leaving.ending.abort();
+    t.equal(await left, false);
+});
+
+t.test("the used part counts no request that waits at an endpoint", t => {
+    const { admission, load } = startAdmission();
+    load.startRequest("i-1");
+    t.equal(admission.computeUsedPart("llm"), 0.5);
+    ["2", "3", "4"].forEach(() => load.startRequest("i-1"));
+    t.equal(admission.computeUsedPart("llm"), 1);
+    t.end();
+});
