--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -62,10 +62,10 @@
         holder: settings.host,
         onLost(term) {
             logger.logEvent(EventId.GroupCoordinatorLost, { term });
-            team.forget();
+            coordination.forget();
         },
     });
-    const team = createCoordination(settings, { ...platform, service }, office, metrics, logger);
+    const coordination = createCoordination(settings, { ...platform, service }, office, metrics, logger);
     const router = buildRankControl({ link: platform.link, acceptTerm: office.acceptTerm });
     const [control, monitoring] = await Promise.all([
         openControlPort({ address, port: controlPort, router, processKey }),
@@ -80,7 +80,7 @@
             logger.logEvent(EventId.ProcessDraining);
             office.stop();
             await loop.stop();
-            team.close();
+            coordination.close();
             control.close();
             monitoring.close();
             logger.logEvent(EventId.ProcessStopped);
@@ -100,9 +100,9 @@
         }
         if (!wasInOffice) {
             logger.logEvent(EventId.GroupOfficeWon, { group: report.group, term });
-            team.forget();
+            coordination.forget();
         }
-        await team.coordinate(report);
+        await coordination.coordinate(report);
     }
 }
 
