--- a/bench/soak/SoakCallers.ts
+++ b/bench/soak/SoakCallers.ts
@@ -1,6 +1,7 @@
 import http from "node:http";
 import type { Random } from "../scheduling/Random.js";
 import type { SoakFleet, SoakRouter } from "./SoakFleet.js";
+import { MS_PER_SECOND, readMonotonicMs } from "../../src/utils/time.js";
 
 /** Kinds of request that callers send. */
 export enum CallKind {
@@ -49,7 +50,6 @@
 const KINDS = [CallKind.Stock, CallKind.Book, CallKind.Advice];
 const KIND_WEIGHTS = [2, 2, 3];
 const PATIENCE_MS = { [CallKind.Stock]: 1_500, [CallKind.Book]: 1_500, [CallKind.Advice]: 4_000 };
-const MS_PER_SECOND = 1_000;
 
 /**
  * Starts the callers. Each keeps its connections open and goes on using them until the router closes them or is gone.
@@ -94,7 +94,7 @@
             router: router.name,
             kind,
             key,
-            sentAt: performance.now(),
+            sentAt: readMonotonicMs(),
             endedAt: undefined,
             patienceMs: PATIENCE_MS[kind],
             status: undefined,
@@ -150,7 +150,7 @@
 
         function finish(): void {
             clearTimeout(timer);
-            attempt.endedAt ??= performance.now();
+            attempt.endedAt ??= readMonotonicMs();
             resolve();
         }
     });
--- a/bench/soak/SoakEndpoint.ts
+++ b/bench/soak/SoakEndpoint.ts
@@ -1,4 +1,5 @@
 import type http from "node:http";
+import { readMonotonicMs } from "../../src/utils/time.js";
 import { type EndpointStandin, startEndpointStandin } from "../../standins/endpoint/endpointStandin.js";
 import { type LinkStandin, startLinkStandin } from "../../standins/network/linkStandin.js";
 import type { Random } from "../scheduling/Random.js";
@@ -66,7 +67,7 @@
         const spoilage = random.draw() < endpoint.spoiledPart ? drawSpoilage() : undefined;
         const isMisdirected = seen.headers["expect-instance"] !== id;
         const hasRun = !isMisdirected && spoilage !== Spoilage.TurnedAway;
-        record.addRun({ attempt, endpoint: id, hasRun, team, at: performance.now() });
+        record.addRun({ attempt, endpoint: id, hasRun, team, at: readMonotonicMs() });
         if (!hasRun) {
             const status = isMisdirected ? STATUS_MISDIRECTED : STATUS_UNAVAILABLE;
             response.writeHead(status, { "attempt-id": attempt, "not-executed": "1" }).end();
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -1,5 +1,5 @@
 import { match } from "ts-pattern";
-import { waitFor } from "../../src/utils/time.js";
+import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import type { Random } from "../scheduling/Random.js";
 import type { SoakFleet, SoakRouter } from "./SoakFleet.js";
 import type { SoakPlatform } from "./SoakPlatform.js";
@@ -102,7 +102,7 @@
         const fault: PlayedFault = {
             kind,
             target: undefined,
-            from: performance.now(),
+            from: readMonotonicMs(),
             until: Number.POSITIVE_INFINITY,
         };
         if (router === undefined || endpoint === undefined) {
@@ -131,7 +131,7 @@
             .with(FaultKind.EndpointLeaves, () => platform.replaceEndpoint(endpoint))
             .with(FaultKind.KeyRevoked, () => platform.removeKey(lastsMs))
             .exhaustive();
-        fault.until = performance.now();
+        fault.until = readMonotonicMs();
     }
 
     async function endRouter(router: SoakRouter, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
--- a/bench/soak/SoakPlatform.ts
+++ b/bench/soak/SoakPlatform.ts
@@ -1,5 +1,6 @@
-import { waitFor } from "../../src/utils/time.js";
+import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import type { KeyValueStore } from "../../standins/platform/KeyValueStore.js";
+import { writeKey } from "../../standins/platform/writeKey.js";
 import type { Random } from "../scheduling/Random.js";
 import type { RunRecord } from "./RunRecord.js";
 import { type SoakEndpoint, startSoakEndpoint } from "./SoakEndpoint.js";
@@ -78,7 +79,7 @@
         }
         await endpoint.close();
         await waitFor(GONE_MS);
-        await writeKey(`servers/${endpoint.id}`, undefined);
+        await writeKey(store, `servers/${endpoint.id}`, undefined);
         await addEndpoint();
     }
 
@@ -88,9 +89,9 @@
         }
         await addEndpoint();
         await writeEndpoint(endpoint, "draining");
-        announcements.push({ kind: "leaving", subject: endpoint.id, at: performance.now() });
+        announcements.push({ kind: "leaving", subject: endpoint.id, at: readMonotonicMs() });
         await waitFor(LEAVING_MS);
-        await writeKey(`servers/${endpoint.id}`, undefined);
+        await writeKey(store, `servers/${endpoint.id}`, undefined);
         await endpoint.close();
     }
 
@@ -109,9 +110,9 @@
         }
         isRevoked = true;
         await writeDocument([LASTING_KEY]);
-        announcements.push({ kind: "revoked", subject: REVOKED_KEY, at: performance.now() });
+        announcements.push({ kind: "revoked", subject: REVOKED_KEY, at: readMonotonicMs() });
         await waitFor(lastsMs + LEAVING_MS);
-        announcements.push({ kind: "restored", subject: REVOKED_KEY, at: performance.now() });
+        announcements.push({ kind: "restored", subject: REVOKED_KEY, at: readMonotonicMs() });
         await writeDocument([LASTING_KEY, REVOKED_KEY]);
         isRevoked = false;
     }
@@ -120,17 +121,12 @@
         const address = `127.0.0.1:${endpoint.port}`;
         const zone = ZONES[count % ZONES.length];
         const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1 };
-        return writeKey(`servers/${endpoint.id}`, JSON.stringify(entry));
+        return writeKey(store, `servers/${endpoint.id}`, JSON.stringify(entry));
     }
 
     function writeDocument(keys: readonly string[]): Promise<void> {
         version += 2;
-        return writeKey("op/config", JSON.stringify(buildDocument(version, keys)));
-    }
-
-    async function writeKey(key: string, value: string | undefined): Promise<void> {
-        const current = await store.getEntry(key);
-        await store.swapEntry({ key, expectedRevision: current?.revision ?? 0, value });
+        return writeKey(store, "op/config", JSON.stringify(buildDocument(version, keys)));
     }
 
     async function close(): Promise<void> {
--- a/bench/soak/playSoak.ts
+++ b/bench/soak/playSoak.ts
@@ -1,5 +1,5 @@
 import { mixHash32 } from "../../src/utils/digest.js";
-import { waitFor } from "../../src/utils/time.js";
+import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import { type Random, createRandom } from "../scheduling/Random.js";
 import { createRunRecord } from "./RunRecord.js";
 import { startSoakCallers } from "./SoakCallers.js";
@@ -69,7 +69,7 @@
         const faults = startSoakFaults({ fleet, platform, random, meanGapMs: options.meanGapMs });
         await waitFor(options.faultsMs);
         await faults.stop();
-        const calmFrom = performance.now();
+        const calmFrom = readMonotonicMs();
         await waitFor(CALM_MS);
         await callers.stop();
         const { attempts } = callers;
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -115,13 +115,22 @@
     return exchange.route !== undefined;
 }
 
+/**
+ * Tells whether the time in which a first byte is worth most is over at a time, counted from the caller's first attempt.
+ * @param exchange - Exchange.
+ * @param at - Monotonic time, in milliseconds.
+ */
+export function isPastTarget(exchange: RoutedExchange, at: number): boolean {
+    return exchange.waitedBeforeMs + at - exchange.arrivedAt > exchange.route.targetMs;
+}
+
 /**
  * Tells whether an answer came later than it is worth most: its first byte, or an event after a pause.
  * @param exchange - Exchange that is settled.
  */
 export function isAnswerLate(exchange: RoutedExchange): boolean {
-    const { firstByteAt, arrivedAt, waitedBeforeMs, longestPauseMs, route } = exchange;
-    const isFirstByteLate = firstByteAt !== undefined && waitedBeforeMs + firstByteAt - arrivedAt > route.targetMs;
+    const { firstByteAt, longestPauseMs, route } = exchange;
+    const isFirstByteLate = firstByteAt !== undefined && isPastTarget(exchange, firstByteAt);
     return isFirstByteLate || (route.maxPauseMs > 0 && longestPauseMs > route.maxPauseMs);
 }
 
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -1,9 +1,10 @@
 import type { CallResult } from "../platform/index.js";
-import { Cause, Outcome } from "../protocol/index.js";
+import { Outcome } from "../protocol/index.js";
 import { type MetricSet, createMetricSet } from "../telemetry/MetricSet.js";
 import type { SettledDirectExchange } from "./CallerServer.js";
-import { getSettledCause } from "./SettledLog.js";
+import { getSettledCause, isAnswered } from "./SettledLog.js";
 import { type DirectExchange, getUrgency, isRouted } from "./DirectExchange.js";
+import { MS_PER_SECOND } from "../utils/time.js";
 
 /** Metrics of a direct router. */
 export interface DirectMetrics {
@@ -24,7 +25,6 @@
     getPlatformAgeMs(): number;
 }
 
-const MS_PER_SECOND = 1_000;
 const NO_TEAM = "none";
 const NO_ROUTE = "none";
 
@@ -64,8 +64,7 @@
         const { exchange, refusal } = settled;
         const urgency = isRouted(exchange) ? String(getUrgency(exchange)) : "";
         const cause = getSettledCause(settled);
-        const isAnswered = cause === Cause.None || cause === Cause.Late;
-        const outcome = refusal?.outcome ?? (isAnswered ? Outcome.Ran : Outcome.Unknown);
+        const outcome = refusal?.outcome ?? (isAnswered(cause) ? Outcome.Ran : Outcome.Unknown);
         requests.addAmount({ route: exchange.route?.name ?? NO_ROUTE, urgency, outcome, cause });
         teams.addAmount({ team: exchange.team?.name ?? NO_TEAM, outcome });
         for (const { end } of exchange.attempts) {
--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -24,7 +24,6 @@
     expireLapsed(now: number): void;
     /** Endpoints of a service that take new work. */
     listServing(service: string): readonly EndpointRecord[];
-    getRecord(id: string): EndpointRecord | undefined;
     /** Lists the endpoints whose entries haven't lapsed. */
     listRecords(): EndpointRecord[];
     countRecords(): number;
@@ -49,7 +48,8 @@
  */
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
     const entries = new Map<string, Entry>();
-    let serving = new Map<string, EndpointRecord[]>();
+    /** Serving endpoints by service; undefined while a change is not in it yet. */
+    let serving: Map<string, EndpointRecord[]> | undefined;
     let failedAt = Number.NEGATIVE_INFINITY;
     return {
         applyListing,
@@ -59,8 +59,7 @@
             failedAt = now;
         },
         expireLapsed,
-        listServing: service => serving.get(service) ?? [],
-        getRecord: id => entries.get(id)?.record,
+        listServing,
         listRecords: () =>
             [...entries.values()].filter(entry => entry.lapsesAt === undefined).map(entry => entry.record),
         countRecords: () => entries.size,
@@ -77,7 +76,7 @@
     function applyRecord(record: EndpointRecord, now: number): void {
         const known = entries.get(record.id);
         entries.set(record.id, { record, lapsesAt: undefined });
-        updateServing();
+        serving = undefined;
         if (known === undefined) {
             options.onChange(DirectoryChange.Added, record);
         } else if (known.record.bornAt !== record.bornAt) {
@@ -103,7 +102,7 @@
             return;
         }
         entries.delete(id);
-        updateServing();
+        serving = undefined;
         options.onChange(DirectoryChange.Removed, known.record);
     }
 
@@ -111,20 +110,26 @@
         for (const [id, entry] of entries) {
             if (entry.lapsesAt !== undefined && entry.lapsesAt <= now) {
                 entries.delete(id);
-                updateServing();
+                serving = undefined;
                 options.onChange(DirectoryChange.Removed, entry.record);
             }
         }
     }
 
-    function updateServing(): void {
-        serving = new Map();
+    function listServing(service: string): readonly EndpointRecord[] {
+        serving ??= collectServing();
+        return serving.get(service) ?? [];
+    }
+
+    function collectServing(): Map<string, EndpointRecord[]> {
+        const grouped = new Map<string, EndpointRecord[]>();
         for (const { record } of entries.values()) {
             if (!record.isLeaving) {
-                const list = serving.get(record.service) ?? [];
+                const list = grouped.get(record.service) ?? [];
                 list.push(record);
-                serving.set(record.service, list);
+                grouped.set(record.service, list);
             }
         }
+        return grouped;
     }
 }
--- a/src/direct/RetryShare.ts
+++ b/src/direct/RetryShare.ts
@@ -1,3 +1,5 @@
+import { readMonotonicMs } from "../utils/time.js";
+
 /** Bounds the second sends of all routers together, without asking the others. */
 export interface RetryShare {
     recordRequest(service: string): void;
@@ -51,7 +53,7 @@
     }
 
     function getWindow(service: string): ServiceWindow {
-        const slice = Math.floor(performance.now() / sliceMs);
+        const slice = Math.floor(readMonotonicMs() / sliceMs);
         let window = windows.get(service);
         if (window === undefined) {
             window = { requests: createSlices(), retries: createSlices(), slice };
--- a/src/direct/SettledLog.ts
+++ b/src/direct/SettledLog.ts
@@ -2,6 +2,7 @@
 import { EventId, type Logger } from "../telemetry/index.js";
 import type { SettledDirectExchange } from "./CallerServer.js";
 import { type ExchangeAttempt, isAnswerLate, isRouted } from "./DirectExchange.js";
+import { MS_PER_SECOND } from "../utils/time.js";
 
 /** Log of what became of requests. */
 export interface SettledLog {
@@ -10,7 +11,6 @@
 
 /** Lines a second for requests that went well, and for those that were late; what is left out is counted in the next line. */
 const LINES_PER_SECOND = 20;
-const MS_PER_SECOND = 1_000;
 
 /**
  * Creates the log: a line for every request that failed or was late, and a sample of the others.
@@ -30,8 +30,7 @@
             leftOut++;
             return;
         }
-        const isAnswered = cause === Cause.None || cause === Cause.Late;
-        const event = isAnswered ? EventId.RequestAnswered : EventId.RequestRefused;
+        const event = isAnswered(cause) ? EventId.RequestAnswered : EventId.RequestRefused;
         logger.logEvent(event, {
             attempt: exchange.id,
             route: exchange.route?.name,
@@ -68,6 +67,14 @@
     return isRouted(exchange) && isAnswerLate(exchange) ? Cause.Late : Cause.None;
 }
 
+/**
+ * Tells whether the caller got a whole answer, in time or late.
+ * @param cause - Cause of a settled exchange.
+ */
+export function isAnswered(cause: Cause): boolean {
+    return cause === Cause.None || cause === Cause.Late;
+}
+
 /** Lines that may be written in a second. */
 function createAllowance(): { takeLine(now: number): boolean } {
     let windowStart = 0;
--- a/src/direct/StreamAdmission.ts
+++ b/src/direct/StreamAdmission.ts
@@ -1,5 +1,5 @@
 import type { PaceControl } from "../scheduling/index.js";
-import { computeHash32 } from "../utils/digest.js";
+import { computeHashFraction } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
@@ -38,7 +38,6 @@
 const LOOK_MS = 25;
 /** Of so many requests one is let in by its age alone, so that the least urgent are not starved. */
 const TURNS_BY_AGE = 5;
-const HASH_RANGE = 2 ** 32;
 /** Weight of one stream in the usual time to the first event. */
 const SMOOTHING = 0.05;
 
@@ -135,7 +134,7 @@
             part === undefined ||
             directory.listServing(service).some(endpoint => {
                 // Endpoints round a broken number differently, so that their mean is the allowed one.
-                const limit = Math.floor(endpoint.slots * part + computeHash32(endpoint.id) / HASH_RANGE);
+                const limit = Math.floor(endpoint.slots * part + computeHashFraction(endpoint.id));
                 return load.getLoad(endpoint.id, now) < limit;
             })
         );
--- a/src/direct/buildEndpointHeaders.ts
+++ b/src/direct/buildEndpointHeaders.ts
@@ -1,7 +1,7 @@
 import type http from "node:http";
 import { copyEndToEndHeaders } from "../protocol/index.js";
 import { readMonotonicMs } from "../utils/time.js";
-import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
+import { type RoutedExchange, getUrgency, isPastTarget } from "./DirectExchange.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
 
@@ -48,12 +48,6 @@
 
 /** Computes the urgency for the endpoint's queue, 0 to 9. */
 function computeQueueUrgency(exchange: RoutedExchange): number {
-    const late = isLate(exchange) ? LATE_STEP : 0;
+    const late = isPastTarget(exchange, readMonotonicMs()) ? LATE_STEP : 0;
     return Math.min(LEAST_URGENT, exchange.index.getUrgencyLevel(getUrgency(exchange), exchange.route.urgency) + late);
 }
-
-/** Tells whether the time in which an answer is worth most is over, counted from the caller's first attempt. */
-function isLate(exchange: RoutedExchange): boolean {
-    const waitedMs = exchange.waitedBeforeMs + readMonotonicMs() - exchange.arrivedAt;
-    return waitedMs > exchange.route.targetMs;
-}
--- a/src/direct/chooseEndpoint.ts
+++ b/src/direct/chooseEndpoint.ts
@@ -1,4 +1,4 @@
-import { computeHash32 } from "../utils/digest.js";
+import { computeHashFraction } from "../utils/digest.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { LoadBoard } from "./LoadBoard.js";
@@ -25,7 +25,6 @@
  * all send to the same endpoint at the same time.
  */
 const PREFERENCE_WEIGHT = 0.4;
-const HASH_RANGE = 2 ** 32;
 
 /**
  * Chooses the endpoint with the least load for its slots, counting failures and distance as load.
@@ -56,10 +55,5 @@
     const load = (options.load.getLoad(endpoint.id, options.now) + 1) / Math.max(1, endpoint.slots);
     const failures = FAILURE_WEIGHT * options.health.getFailureShare(endpoint.id, options.now);
     const distance = endpoint.zone === options.zone ? 0 : ZONE_WEIGHT;
-    return load + failures + distance + PREFERENCE_WEIGHT * computePlace(options.host, endpoint.id);
-}
-
-/** Computes the place of an endpoint in the order of a router, 0 to 1. */
-function computePlace(host: string, endpoint: string): number {
-    return computeHash32(`${host}/${endpoint}`) / HASH_RANGE;
+    return load + failures + distance + PREFERENCE_WEIGHT * computeHashFraction(`${options.host}/${endpoint.id}`);
 }
--- a/src/direct/filters/runRequest.ts
+++ b/src/direct/filters/runRequest.ts
@@ -26,7 +26,7 @@
 
     function recordPause(exchange: RoutedExchange, pauseMs: number): void {
         const { service, route, index } = exchange;
-        const engine = index.document.services.find(candidate => candidate.name === service)?.engine;
+        const engine = index.findService(service)?.engine;
         if (route.maxPauseMs === 0 || engine === undefined) {
             return;
         }
--- a/src/direct/relay/AnswerRelay.ts
+++ b/src/direct/relay/AnswerRelay.ts
@@ -22,9 +22,6 @@
     /** Headers that the next attempt needs beside the caller's own. */
     abstract buildAttemptHeaders(): Record<string, string>;
 
-    /** Tells whether the caller has a part of the answer already. */
-    abstract hasStarted(): boolean;
-
     /** Passes on a failure that was kept while another endpoint was tried; false if there is none. */
     abstract sendKeptFailure(): boolean;
 }
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -42,10 +42,6 @@
             return lastEvent === undefined ? {} : { [lastEventHeader]: lastEvent };
         }
 
-        override hasStarted(): boolean {
-            return response.headersSent;
-        }
-
         override sendKeptFailure(): boolean {
             return !response.headersSent && whole.sendKeptFailure();
         }
--- a/src/direct/relay/WholeRelay.ts
+++ b/src/direct/relay/WholeRelay.ts
@@ -50,10 +50,6 @@
             return {};
         }
 
-        override hasStarted(): boolean {
-            return false;
-        }
-
         override sendKeptFailure(): boolean {
             if (kept === undefined) {
                 return false;
--- a/src/peers/PeerNews.ts
+++ b/src/peers/PeerNews.ts
@@ -40,8 +40,6 @@
 export interface PeerNews {
     /** Sends the news at once, in place of at the next tick. */
     sendNow(): void;
-    /** Adds the address of a router that another source has named. */
-    addAddress(address: string): void;
     /** Gets the last news of each router heard within a time. */
     listHeard(withinMs: number): RouterNews[];
     /** Most routers known at one time, this one included. */
@@ -96,7 +94,6 @@
     );
     return {
         sendNow: () => sendTo(() => true),
-        addAddress,
         listHeard,
         countRouters: () => mostRouters,
         async stop() {
--- a/src/protocol/Refusal.ts
+++ b/src/protocol/Refusal.ts
@@ -1,6 +1,7 @@
 import type http from "node:http";
 import type { Cause } from "./Cause.js";
 import type { Outcome } from "./Outcome.js";
+import { MS_PER_SECOND } from "../utils/time.js";
 
 /** A final answer of the system itself, in place of the endpoint's. */
 export interface Refusal {
@@ -28,8 +29,6 @@
 /** Media type of a problem document. */
 export const PROBLEM_TYPE = "application/problem+json";
 
-const MS_PER_SECOND = 1_000;
-
 /** Formats a delay for callers that read whole seconds only, as RFC 9110 has it. */
 export function formatWholeSeconds(delayMs: number): string {
     return String(Math.max(1, Math.ceil(delayMs / MS_PER_SECOND)));
--- a/src/telemetry/MetricSet.ts
+++ b/src/telemetry/MetricSet.ts
@@ -1,6 +1,7 @@
 import type { Registry } from "prom-client";
 import type { MetricsSource } from "./MetricsSource.js";
 import { type Labels, type SeriesTally, createSeriesTally } from "./SeriesTally.js";
+import { MS_PER_SECOND } from "../utils/time.js";
 
 /** Durations by label values. */
 export interface DurationTally {
@@ -24,7 +25,6 @@
 
 /** Bounds of the buckets in seconds, from a plain service's answer up to the longest patience of a caller. */
 const BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
-const MS_PER_SECOND = 1_000;
 
 type Registration = (library: typeof import("prom-client"), registry: Registry) => void;
 
--- a/src/utils/digest.ts
+++ b/src/utils/digest.ts
@@ -56,6 +56,17 @@
     return mixHash32(hash);
 }
 
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Computes a fast hash of a text as a fraction.
+ * @param text - Text to hash.
+ * @returns From 0 to below 1.
+ */
+export function computeHashFraction(text: string): number {
+    return computeHash32(text) / HASH_RANGE;
+}
+
 /**
  * Mixes the bits of a 32-bit hash so that close inputs end far apart.
  * @param hash - Hash to mix.
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -8,6 +8,7 @@
 import { waitFor } from "../../src/utils/time.js";
 import { type EndpointStandin, startEndpointStandin } from "../../standins/endpoint/endpointStandin.js";
 import { type KeyValueStore, createKeyValueStore } from "../../standins/platform/KeyValueStore.js";
+import { writeKey } from "../../standins/platform/writeKey.js";
 import type { OwningTest } from "../fixtures.js";
 
 /** A direct router with endpoints of scripts, inside the test's process. */
@@ -117,21 +118,17 @@
     async function writeDocument(version: number, change?: (document: WireDocument) => void): Promise<void> {
         const document = buildDocument(version);
         change?.(document);
-        await writeKey("op/config", JSON.stringify(document));
+        await writeKey(store, "op/config", JSON.stringify(document));
     }
 
     function writeEndpoint(index: number, state = "ready"): Promise<void> {
         const address = `${ADDRESS}:${endpoints[index]?.port ?? 0}`;
         return writeKey(
+            store,
             `servers/i-${index}`,
             JSON.stringify({ service: "app", address, zone: "a", version: "v1", slots: 8, state, sequence: 1 }),
         );
     }
-
-    async function writeKey(key: string, value: string): Promise<void> {
-        const current = await store.getEntry(key);
-        await store.swapEntry({ key, expectedRevision: current?.revision ?? 0, value });
-    }
 }
 
 async function waitUntilReady(port: number): Promise<void> {
