Log which call to the store hung, who told of an endpoint, and how old that is at a send

Each failed call of a watch is logged with its prefix, revision and duration (5003), a late answer about endpoints with the gap (5004), a change of an endpoint with its source (3101), and each send with the age of what is known. No decision changes.

--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -21,6 +21,8 @@
     pace: PaceControl;
     admission: StreamAdmission;
     logger: Logger;
+    /** Time since the platform or a peer last told of the endpoints, in milliseconds. */
+    getEndpointAgeMs: () => number;
     /** Random number from 0 to 1. */
     drawRandom: () => number;
 }
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -14,6 +14,8 @@
     /** Time from the arrival of the request to the send, in milliseconds. */
     sentAfterMs: number;
     lastedMs: number;
+    /** Age of what was known of the endpoints at the send, in milliseconds. */
+    knownAgeMs: number;
 }
 
 /** A request on its way through the filters of a direct router. */
--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -12,10 +12,16 @@
     Restored = "restored",
 }
 
+/** Who told of a change, when it isn't the platform. */
+const PLATFORM = "platform";
+
 /** Endpoints that are known, by service. */
 export interface EndpointDirectory {
-    /** Takes in a whole listing; entries that are missing are removed or kept for a time. */
-    applyListing(records: readonly EndpointRecord[], now: number): void;
+    /**
+     * Takes in a whole listing; entries that are missing are removed or kept for a time.
+     * @param source - Address of the peer that told it, for the log; by default the platform.
+     */
+    applyListing(records: readonly EndpointRecord[], now: number, source?: string): void;
     applyRecord(record: EndpointRecord, now: number): void;
     removeRecord(id: string, now: number): void;
     /** Notes that the store did not answer; entries that vanish right after its return may come back. */
@@ -31,7 +37,8 @@
 
 /** Options of the directory. */
 export interface EndpointDirectoryOptions {
-    onChange: (change: DirectoryChange, record: EndpointRecord) => void;
+    /** The source is the platform or a peer's address. */
+    onChange: (change: DirectoryChange, record: EndpointRecord, source: string) => void;
     /** Time after a return of the store within which lapsed entries come back, in milliseconds. */
     lapseGraceMs: number;
 }
@@ -51,6 +58,7 @@
     /** Serving endpoints by service; undefined while a change is not in it yet. */
     let serving: Map<string, EndpointRecord[]> | undefined;
     let failedAt = Number.NEGATIVE_INFINITY;
+    let source = PLATFORM;
     return {
         applyListing,
         applyRecord,
@@ -65,12 +73,14 @@
         countRecords: () => entries.size,
     };
 
-    function applyListing(records: readonly EndpointRecord[], now: number): void {
+    function applyListing(records: readonly EndpointRecord[], now: number, listedBy = PLATFORM): void {
+        source = listedBy;
         const listed = new Set(records.map(record => record.id));
         for (const id of [...entries.keys()].filter(id => !listed.has(id))) {
             removeRecord(id, now);
         }
         records.forEach(record => applyRecord(record, now));
+        source = PLATFORM;
     }
 
     function applyRecord(record: EndpointRecord, now: number): void {
@@ -78,14 +88,14 @@
         entries.set(record.id, { record, lapsesAt: undefined });
         serving = undefined;
         if (known === undefined) {
-            options.onChange(DirectoryChange.Added, record);
+            options.onChange(DirectoryChange.Added, record, source);
         } else if (known.record.bornAt !== record.bornAt) {
-            options.onChange(DirectoryChange.Restarted, record);
+            options.onChange(DirectoryChange.Restarted, record, source);
         } else if (known.lapsesAt !== undefined) {
-            options.onChange(DirectoryChange.Restored, record);
+            options.onChange(DirectoryChange.Restored, record, source);
         }
         if (record.isLeaving && known?.record.isLeaving !== true) {
-            options.onChange(DirectoryChange.Leaving, record);
+            options.onChange(DirectoryChange.Leaving, record, source);
         }
         expireLapsed(now);
     }
@@ -98,12 +108,12 @@
         const mayReturn = now - failedAt < options.lapseGraceMs && !known.record.isLeaving;
         if (mayReturn) {
             known.lapsesAt = now + options.lapseGraceMs;
-            options.onChange(DirectoryChange.Lapsed, known.record);
+            options.onChange(DirectoryChange.Lapsed, known.record, source);
             return;
         }
         entries.delete(id);
         serving = undefined;
-        options.onChange(DirectoryChange.Removed, known.record);
+        options.onChange(DirectoryChange.Removed, known.record, source);
     }
 
     function expireLapsed(now: number): void {
@@ -111,7 +121,7 @@
             if (entry.lapsesAt !== undefined && entry.lapsesAt <= now) {
                 entries.delete(id);
                 serving = undefined;
-                options.onChange(DirectoryChange.Removed, entry.record);
+                options.onChange(DirectoryChange.Removed, entry.record, source);
             }
         }
     }
--- a/src/direct/Knowledge.ts
+++ b/src/direct/Knowledge.ts
@@ -18,6 +18,8 @@
     getKnowledge(): RouterKnowledge;
     /** Time since the store last answered, in milliseconds. */
     getPlatformAgeMs(): number;
+    /** Time since the store or a peer last told of the endpoints, in milliseconds. */
+    getEndpointAgeMs(): number;
     /** Most routers known at one time, this one included. */
     countRouters(): number;
     /** Tells the other routers at once that this one is leaving. */
@@ -83,6 +85,7 @@
             endpointRevision: fallback.getEndpointRevision(),
         }),
         getPlatformAgeMs: () => sync.getAgeMs(),
+        getEndpointAgeMs: () => Math.min(sync.getAgeMs(), fallback.getAgeMs()),
         countRouters: () => news.countRouters(),
         announceLeaving() {
             isLeaving = true;
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -30,6 +30,8 @@
     handleNews(news: RouterNews): void;
     /** Revision up to which the endpoints are known, from the store or a peer. */
     getEndpointRevision(): number;
+    /** Time since endpoints were last taken from a peer, in milliseconds. */
+    getAgeMs(): number;
     stop(): Promise<void>;
 }
 
@@ -50,12 +52,14 @@
     let isFetching = false;
     /** Revision of the endpoints last taken from a peer. */
     let takenRevision = 0;
+    let takenAt = Number.NEGATIVE_INFINITY;
     const loop: Loop = startLoop(PERIOD_MS, askIfSilent, error =>
         logger.logFailure(EventId.TaskFailed, error, { task: "peer fallback" }),
     );
     return {
         handleNews,
         getEndpointRevision,
+        getAgeMs: () => readMonotonicMs() - takenAt,
         async stop() {
             await loop.stop();
             clients.forEach(client => client.close());
@@ -122,7 +126,8 @@
         const isNewer = knowledge.endpointRevision > getEndpointRevision();
         if (options.getPlatformAgeMs() >= PLATFORM_SILENT_MS && isNewer) {
             takenRevision = knowledge.endpointRevision;
-            directory.applyListing(knowledge.endpoints, readMonotonicMs());
+            takenAt = readMonotonicMs();
+            directory.applyListing(knowledge.endpoints, takenAt, address);
         }
     }
 
--- a/src/direct/SettledLog.ts
+++ b/src/direct/SettledLog.ts
@@ -92,5 +92,5 @@
 }
 
 function describeAttempt(attempt: ExchangeAttempt): string {
-    return `${attempt.endpoint} after ${attempt.sentAfterMs} ms: ${attempt.result}, ${attempt.lastedMs} ms`;
+    return `${attempt.endpoint} after ${attempt.sentAfterMs} ms: ${attempt.result}, ${attempt.lastedMs} ms, known ${attempt.knownAgeMs} ms ago`;
 }
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -1,4 +1,10 @@
-import { type KeyValueEntry, type KeyValueService, type PrefixWatcher, startPrefixWatcher } from "../platform/index.js";
+import {
+    type KeyValueEntry,
+    type KeyValueService,
+    type PrefixWatcher,
+    type WatcherCall,
+    startPrefixWatcher,
+} from "../platform/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { readMonotonicMs } from "../utils/time.js";
 import type { DirectCodec } from "./DirectCodec.js";
@@ -39,6 +45,9 @@
 /** Longest such period, in milliseconds; well below the silence from which the store counts as out of reach. */
 const MAX_ENDPOINT_PERIOD_MS = 900;
 
+/** Part of the time in which a leaving endpoint is to be known after which a missing answer is worth a line in the log. */
+const LATE_PART = 0.5;
+
 /**
  * Starts the synchronisation.
  * @param options - Service, codec and receivers.
@@ -58,7 +67,7 @@
             onChanged: takeDocument,
             onDeleted: () => undefined,
             onAnswer: () => undefined,
-            onFailure: recordFailure,
+            onFailure: (error, call) => recordFailure(codec.documentPrefix, error, call),
         },
     });
     const endpointWatcher: PrefixWatcher = startPrefixWatcher({
@@ -74,7 +83,7 @@
             onChanged: takeEndpoint,
             onDeleted: key => directory.removeRecord(codec.getEndpointId(key), readMonotonicMs()),
             onAnswer: recordAnswer,
-            onFailure: recordFailure,
+            onFailure: (error, call) => recordFailure(codec.endpointPrefix, error, call),
         },
     });
     return {
@@ -117,6 +126,7 @@
 
     function recordAnswer(revision: number): void {
         endpointRevision = revision;
+        logGap(readMonotonicMs() - answeredAt);
         answeredAt = readMonotonicMs();
         directory.expireLapsed(answeredAt);
         if (isDown) {
@@ -127,8 +137,17 @@
         }
     }
 
-    function recordFailure(error: unknown): void {
+    function logGap(gapMs: number): void {
+        if (Number.isFinite(gapMs) && gapMs > LATE_PART * options.leavingMs) {
+            logger.logEvent(EventId.EndpointNewsLate, { gapMs: Math.round(gapMs), revision: endpointRevision });
+        }
+    }
+
+    function recordFailure(prefix: string, error: unknown, call: WatcherCall): void {
         directory.recordStoreFailure(readMonotonicMs());
+        const { isListing, fromRevision } = call;
+        const lastedMs = Math.round(call.lastedMs);
+        logger.logFailure(EventId.PlatformCallFailed, error, { prefix, isListing, fromRevision, lastedMs });
         if (!isDown) {
             isDown = true;
             logger.logFailure(EventId.PlatformUnavailable, error);
--- a/src/direct/sendOnce.ts
+++ b/src/direct/sendOnce.ts
@@ -26,6 +26,7 @@
     endpoint: EndpointRecord,
 ): Promise<SendEnd> {
     const sentAt = readMonotonicMs();
+    const knownAgeMs = Math.round(context.getEndpointAgeMs());
     context.load.startRequest(endpoint.id);
     state.tried.add(endpoint.id);
     let result = "";
@@ -63,6 +64,7 @@
             result,
             sentAfterMs: Math.round(sentAt - exchange.arrivedAt),
             lastedMs: Math.round(now - sentAt),
+            knownAgeMs,
         });
     }
 }
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -59,7 +59,10 @@
         callers.applyLimits(document.limits);
         logger.logEvent(EventId.DocumentApplied, { version: document.version, source, routes: document.routes.length });
     });
-    const context = createContext(settings, names, logger, () => knowledge.countRouters());
+    const context = createContext(settings, names, logger, {
+        countRouters: () => knowledge.countRouters(),
+        getEndpointAgeMs: () => knowledge.getEndpointAgeMs(),
+    });
     const metrics: DirectMetrics = createDirectMetrics({
         getConcurrent: () => callers.getConcurrent(),
         getDocumentVersion: () => holder.getVersion(),
@@ -107,7 +110,7 @@
     settings: DirectSettings,
     names: HeaderNames,
     logger: Logger,
-    countRouters: () => number,
+    known: Pick<Knowledge, "countRouters" | "getEndpointAgeMs">,
 ): DirectContext {
     const health = createEndpointHealth();
     const directory = createEndpointDirectory({ onChange: recordChange, lapseGraceMs: settings.lapseGraceMs });
@@ -124,19 +127,21 @@
         health,
         retries: createRetryShare({
             ...settings.retries,
-            getRouters: () => Math.max(LEAST_ROUTERS, countRouters()),
+            getRouters: () => Math.max(LEAST_ROUTERS, known.countRouters()),
         }),
         suspects: createSuspectTable(),
         outages: createOutageWatch(),
         logger,
+        getEndpointAgeMs: known.getEndpointAgeMs,
         drawRandom: Math.random,
     };
 
-    function recordChange(change: DirectoryChange, record: EndpointRecord): void {
+    function recordChange(change: DirectoryChange, record: EndpointRecord, source: string): void {
         if (change === DirectoryChange.Removed || change === DirectoryChange.Restarted) {
             health.forget(record.id);
         }
-        logger.logEvent(EventId.EndpointChanged, { change, endpoint: record.id, service: record.service });
+        const { id: endpoint, service } = record;
+        logger.logEvent(EventId.EndpointChanged, { change, endpoint, service, source });
     }
 }
 
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -2,6 +2,14 @@
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
 import type { KeyValueEntry, KeyValueService, WatchAnswer } from "./KeyValueService.js";
 
+/** A call that a watcher has made. */
+export interface WatcherCall {
+    isListing: boolean;
+    /** Revision that the call asked to go on from; 0 for a listing. */
+    fromRevision: number;
+    lastedMs: number;
+}
+
 /** Receives what a watcher learns of the entries below a prefix. */
 export interface PrefixListener {
     /** All entries, after a start or when the history was lost. */
@@ -11,7 +19,7 @@
     /** The service has answered, with or without changes, up to a revision. */
     onAnswer(revision: number): void;
     /** A call has failed; it will be made again. */
-    onFailure(error: unknown): void;
+    onFailure(error: unknown, call: WatcherCall): void;
 }
 
 /** Options of a watcher. */
@@ -61,6 +69,7 @@
 
     async function follow(stopping: AbortSignal): Promise<void> {
         const startedAt = readMonotonicMs();
+        const fromRevision = revision ?? 0;
         running = new AbortController();
         const signal = AbortSignal.any([stopping, running.signal]);
         try {
@@ -83,7 +92,8 @@
                 revision = undefined;
                 return;
             }
-            listener.onFailure(error);
+            const lastedMs = readMonotonicMs() - startedAt;
+            listener.onFailure(error, { isListing: revision === undefined, fromRevision, lastedMs });
             await waitFor(retryMs, signal);
             retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
             return;
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -25,6 +25,8 @@
     DocumentPromoted = 4003,
     PlatformUnavailable = 5001,
     PlatformRestored = 5002,
+    PlatformCallFailed = 5003,
+    EndpointNewsLate = 5004,
     HostLeft = 5102,
     PeerRejected = 5201,
     PeerUnreachable = 5202,
