Failing test: a router that was cut off from the store goes on using an endpoint that left

The second of two routers loses the store for 600 ms while the store serves the first; then an endpoint's entry is removed. The second router sends its last request there 3122 ms later; the bound is 2000.

--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -2,7 +2,8 @@
 import { findFreePorts } from "../../bench/fleet/ports.js";
 import { createPlatformCodec } from "../../platform/PlatformCodec.js";
 import { WIRE_HEADERS } from "../../platform/wireNames.js";
-import { startDirectRouter } from "../../src/direct/index.js";
+import { type DirectSettings, startDirectRouter } from "../../src/direct/index.js";
+import type { KeyValueService } from "../../src/platform/index.js";
 import { createLogger } from "../../src/telemetry/logger.js";
 import type { RunningProgram } from "../../src/utils/runUntilSignal.js";
 import { waitFor } from "../../src/utils/time.js";
@@ -16,6 +17,9 @@
     store: KeyValueStore;
     endpoints: EndpointStandin[];
     router: RunningProgram;
+    settings: DirectSettings;
+    /** Loopback address of the router. */
+    address: string;
     port: number;
     readinessPort: number;
     metricsPort: number;
@@ -72,44 +76,26 @@
     const endpoints = await Promise.all(
         Array.from({ length: endpointCount }, () => startEndpointStandin((seen, socket) => socket.destroy())),
     );
-    const [callers = 0, readiness = 0, control = 0, metrics = 0, newsPort = 0] = await findFreePorts(5);
+    const settings = buildSettings(ADDRESS, await findFreePorts(5));
     await writeDocument(1);
     for (const index of endpoints.keys()) {
         await writeEndpoint(index);
     }
-    const router = await startDirectRouter(
-        {
-            host: "r1",
-            zone: "a",
-            address: ADDRESS,
-            listen: {
-                callers: { address: ADDRESS, port: callers },
-                readiness: { address: ADDRESS, port: readiness },
-                control: { address: ADDRESS, port: control },
-                metrics: { address: ADDRESS, port: metrics },
-            },
-            newsPort,
-            seeds: [],
-            processKey: "key-of-the-tests",
-            retries: { ratio: 0.2, burst: 1_000, windowMs: 10_000 },
-            drain: { noticeMs: 300, graceMs: 3_000 },
-            leavingMs: 2_000,
-            lapseGraceMs: 2_000,
-        },
-        { service: store, codec: createPlatformCodec(logger), names: WIRE_HEADERS },
-        logger,
-    );
+    const platform = { service: store, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
+    const router = await startDirectRouter(settings, platform, logger);
     t.teardown(async () => {
         await Promise.all([router.stop(), ...endpoints.map(endpoint => endpoint.close())]);
     });
-    await waitUntilReady(readiness);
+    await waitUntilReady(ADDRESS, settings.listen.readiness.port);
     return {
         store,
         endpoints,
         router,
-        port: callers,
-        readinessPort: readiness,
-        metricsPort: metrics,
+        settings,
+        address: ADDRESS,
+        port: settings.listen.callers.port,
+        readinessPort: settings.listen.readiness.port,
+        metricsPort: settings.listen.metrics?.port ?? 0,
         lines,
         writeEndpoint,
         writeDocument,
@@ -131,9 +117,54 @@
     }
 }
 
-async function waitUntilReady(port: number): Promise<void> {
+/**
+ * Starts a second router of a system, on the same ports of another loopback address.
+ * @param service - What it sees of the platform's store.
+ */
+export async function startRouterBeside(
+    t: OwningTest,
+    system: DirectSystem,
+    address: string,
+    service: KeyValueService,
+): Promise<DirectSystem> {
+    const lines: string[] = [];
+    const logger = createLogger("r2", { writeLine: line => lines.push(line), flush: () => Promise.resolve() });
+    const { listen, newsPort } = system.settings;
+    const ports = [listen.callers, listen.readiness, listen.control, listen.metrics].map(place => place?.port ?? 0);
+    const seeds = [{ address: system.address, port: listen.control.port }];
+    const settings: DirectSettings = { ...buildSettings(address, [...ports, newsPort]), host: "r2", seeds };
+    const platform = { service, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
+    const router = await startDirectRouter(settings, platform, logger);
+    t.teardown(() => router.stop());
+    await waitUntilReady(address, listen.readiness.port);
+    return { ...system, router, settings, address, lines };
+}
+
+function buildSettings(address: string, ports: readonly number[]): DirectSettings {
+    const [callers = 0, readiness = 0, control = 0, metrics = 0, newsPort = 0] = ports;
+    return {
+        host: "r1",
+        zone: "a",
+        address,
+        listen: {
+            callers: { address, port: callers },
+            readiness: { address, port: readiness },
+            control: { address, port: control },
+            metrics: { address, port: metrics },
+        },
+        newsPort,
+        seeds: [],
+        processKey: "key-of-the-tests",
+        retries: { ratio: 0.2, burst: 1_000, windowMs: 10_000 },
+        drain: { noticeMs: 300, graceMs: 3_000 },
+        leavingMs: 2_000,
+        lapseGraceMs: 2_000,
+    };
+}
+
+async function waitUntilReady(address: string, port: number): Promise<void> {
     for (let tries = 0; tries < READY_TRIES; tries++) {
-        if ((await readStatus(port)) === 200) {
+        if ((await readStatus(port, address)) === 200) {
             return;
         }
         await waitFor(POLL_MS);
@@ -142,9 +173,9 @@
 }
 
 /** Asks for readiness, as the balancer does. */
-export function readStatus(port: number): Promise<number> {
+export function readStatus(port: number, address = ADDRESS): Promise<number> {
     return new Promise(resolve => {
-        const request = http.get({ host: ADDRESS, port, path: "/readyz", agent: false }, response => {
+        const request = http.get({ host: address, port, path: "/readyz", agent: false }, response => {
             response.resume();
             resolve(response.statusCode ?? 0);
         });
@@ -167,7 +198,7 @@
 export function callRouter(system: DirectSystem, options: CallOptions): Promise<CallerAnswer> {
     return new Promise((resolve, reject) => {
         const request = http.request({
-            host: ADDRESS,
+            host: system.address,
             port: system.port,
             method: options.method ?? "GET",
             path: options.path,
