Tell an outage of the store from a router's own cut by the word of its peers

Cause: an entry that vanishes within 2 s of a failed call of the router's own was kept, since entries that expire in an outage of the store come back. A router that alone was cut off takes every removal after its return for such a lapse, and the grace ended only with the first answer after it: up to 2 s + 2 s.

Change: news between routers tell for how long the store has answered each of them. An entry may come back only while the store has been available to nobody for the grace, and it goes as soon as it has.

--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -21,13 +21,9 @@
      * Takes in a whole listing; entries that are missing are removed or kept for a time.
      * @param source - Address of the peer that told it, for the log; by default the platform.
      */
-    applyListing(records: readonly EndpointRecord[], now: number, source?: string): void;
-    applyRecord(record: EndpointRecord, now: number): void;
-    removeRecord(id: string, now: number): void;
-    /** Notes that the store did not answer; entries that vanish right after its return may come back. */
-    recordStoreFailure(now: number): void;
-    /** Removes lapsed entries that did not come back. */
-    expireLapsed(now: number): void;
+    applyListing(records: readonly EndpointRecord[], source?: string): void;
+    applyRecord(record: EndpointRecord): void;
+    removeRecord(id: string): void;
     /** Endpoints of a service that take new work. */
     listServing(service: string): readonly EndpointRecord[];
     /** Lists the endpoints whose entries haven't lapsed. */
@@ -41,12 +37,14 @@
     onChange: (change: DirectoryChange, record: EndpointRecord, source: string) => void;
     /** Time after a return of the store within which lapsed entries come back, in milliseconds. */
     lapseGraceMs: number;
+    /** Gets for how long the store has been available, in milliseconds; 0 while it is out. */
+    getStoreUpMs: () => number;
 }
 
 interface Entry {
     record: EndpointRecord;
-    /** Monotonic time at which a lapsed entry is given up; undefined while it is registered. */
-    lapsesAt: number | undefined;
+    /** The entry vanished around an outage of the store, and may come back. */
+    hasLapsed: boolean;
 }
 
 /**
@@ -57,57 +55,52 @@
     const entries = new Map<string, Entry>();
     /** Serving endpoints by service; undefined while a change is not in it yet. */
     let serving: Map<string, EndpointRecord[]> | undefined;
-    let failedAt = Number.NEGATIVE_INFINITY;
     let source = PLATFORM;
+    /** Most entries that may have lapsed; those that came back are counted until the next look at all. */
+    let lapsed = 0;
     return {
         applyListing,
         applyRecord,
         removeRecord,
-        recordStoreFailure: now => {
-            failedAt = now;
-        },
-        expireLapsed,
         listServing,
-        listRecords: () =>
-            [...entries.values()].filter(entry => entry.lapsesAt === undefined).map(entry => entry.record),
+        listRecords: () => [...entries.values()].filter(entry => !entry.hasLapsed).map(entry => entry.record),
         countRecords: () => entries.size,
     };
 
-    function applyListing(records: readonly EndpointRecord[], now: number, listedBy = PLATFORM): void {
+    function applyListing(records: readonly EndpointRecord[], listedBy = PLATFORM): void {
         source = listedBy;
         const listed = new Set(records.map(record => record.id));
         for (const id of [...entries.keys()].filter(id => !listed.has(id))) {
-            removeRecord(id, now);
+            removeRecord(id);
         }
-        records.forEach(record => applyRecord(record, now));
+        records.forEach(applyRecord);
         source = PLATFORM;
     }
 
-    function applyRecord(record: EndpointRecord, now: number): void {
+    function applyRecord(record: EndpointRecord): void {
         const known = entries.get(record.id);
-        entries.set(record.id, { record, lapsesAt: undefined });
+        entries.set(record.id, { record, hasLapsed: false });
         serving = undefined;
         if (known === undefined) {
             options.onChange(DirectoryChange.Added, record, source);
         } else if (known.record.bornAt !== record.bornAt) {
             options.onChange(DirectoryChange.Restarted, record, source);
-        } else if (known.lapsesAt !== undefined) {
+        } else if (known.hasLapsed) {
             options.onChange(DirectoryChange.Restored, record, source);
         }
         if (record.isLeaving && known?.record.isLeaving !== true) {
             options.onChange(DirectoryChange.Leaving, record, source);
         }
-        expireLapsed(now);
     }
 
-    function removeRecord(id: string, now: number): void {
+    function removeRecord(id: string): void {
         const known = entries.get(id);
-        if (known === undefined || known.lapsesAt !== undefined) {
+        if (known === undefined || known.hasLapsed) {
             return;
         }
-        const mayReturn = now - failedAt < options.lapseGraceMs && !known.record.isLeaving;
-        if (mayReturn) {
-            known.lapsesAt = now + options.lapseGraceMs;
+        if (!known.record.isLeaving && canReturn()) {
+            known.hasLapsed = true;
+            lapsed++;
             options.onChange(DirectoryChange.Lapsed, known.record, source);
             return;
         }
@@ -116,9 +109,17 @@
         options.onChange(DirectoryChange.Removed, known.record, source);
     }
 
-    function expireLapsed(now: number): void {
+    function canReturn(): boolean {
+        return options.getStoreUpMs() < options.lapseGraceMs;
+    }
+
+    function expireLapsed(): void {
+        if (lapsed === 0 || canReturn()) {
+            return;
+        }
+        lapsed = 0;
         for (const [id, entry] of entries) {
-            if (entry.lapsesAt !== undefined && entry.lapsesAt <= now) {
+            if (entry.hasLapsed) {
                 entries.delete(id);
                 serving = undefined;
                 options.onChange(DirectoryChange.Removed, entry.record, source);
@@ -127,6 +128,7 @@
     }
 
     function listServing(service: string): readonly EndpointRecord[] {
+        expireLapsed();
         serving ??= collectServing();
         return serving.get(service) ?? [];
     }
--- a/src/direct/Knowledge.ts
+++ b/src/direct/Knowledge.ts
@@ -18,6 +18,11 @@
     getKnowledge(): RouterKnowledge;
     /** Time since the store last answered, in milliseconds. */
     getPlatformAgeMs(): number;
+    /**
+     * Time for which the store has been available, in milliseconds: as this router or a peer has found it. A router that
+     * is cut off from the store can't tell that from an outage, but a peer can.
+     */
+    getStoreUpMs(): number;
     /** Time since the store or a peer last told of the endpoints, in milliseconds. */
     getEndpointAgeMs(): number;
     /** Most routers known at one time, this one included. */
@@ -85,6 +90,8 @@
             endpointRevision: fallback.getEndpointRevision(),
         }),
         getPlatformAgeMs: () => sync.getAgeMs(),
+        getStoreUpMs: () =>
+            Math.max(sync.getUpMs(), ...news.listHeard(PEER_FRESH_MS).map(({ platformUpMs }) => platformUpMs)),
         getEndpointAgeMs: () => Math.min(sync.getAgeMs(), fallback.getAgeMs()),
         countRouters: () => news.countRouters(),
         announceLeaving() {
@@ -103,6 +110,7 @@
             zone: settings.zone,
             version: holder.getVersion(),
             platformAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+            platformUpMs: Math.round(sync.getUpMs()),
             load: load.listOwn(),
             suspects: suspects.listSuspects(readMonotonicMs()),
             isLeaving,
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -127,7 +127,7 @@
         if (options.getPlatformAgeMs() >= PLATFORM_SILENT_MS && isNewer) {
             takenRevision = knowledge.endpointRevision;
             takenAt = readMonotonicMs();
-            directory.applyListing(knowledge.endpoints, takenAt, address);
+            directory.applyListing(knowledge.endpoints, address);
         }
     }
 
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -27,6 +27,8 @@
 export interface StoreSync {
     /** Time since the service last answered a call about the endpoints, in milliseconds. */
     getAgeMs(): number;
+    /** Time since the first answer after the last failed call, in milliseconds; 0 while calls fail. */
+    getUpMs(): number;
     /** Revision of the service up to which the endpoints are known; 0 before the first listing. */
     getEndpointRevision(): number;
     stop(): Promise<void>;
@@ -56,6 +58,8 @@
     const { service, codec, holder, directory, logger } = options;
     let answeredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
+    /** First answer about endpoints since the last failed call. */
+    let upSince: number | undefined;
     let isDown = false;
     const documentWatcher: PrefixWatcher = startPrefixWatcher({
         service,
@@ -78,16 +82,17 @@
         listener: {
             onListing(entries) {
                 const records = entries.map(readEndpoint).filter(record => record !== undefined);
-                directory.applyListing(records, readMonotonicMs());
+                directory.applyListing(records);
             },
             onChanged: takeEndpoint,
-            onDeleted: key => directory.removeRecord(codec.getEndpointId(key), readMonotonicMs()),
+            onDeleted: key => directory.removeRecord(codec.getEndpointId(key)),
             onAnswer: recordAnswer,
             onFailure: (error, call) => recordFailure(codec.endpointPrefix, error, call),
         },
     });
     return {
         getAgeMs: () => readMonotonicMs() - answeredAt,
+        getUpMs: () => (upSince === undefined ? 0 : readMonotonicMs() - upSince),
         getEndpointRevision: () => endpointRevision,
         async stop() {
             await Promise.all([documentWatcher.stop(), endpointWatcher.stop()]);
@@ -109,9 +114,9 @@
     function takeEndpoint(entry: KeyValueEntry): void {
         const record = readEndpoint(entry);
         if (record !== undefined) {
-            directory.applyRecord(record, readMonotonicMs());
+            directory.applyRecord(record);
         } else {
-            directory.removeRecord(codec.getEndpointId(entry.key), readMonotonicMs());
+            directory.removeRecord(codec.getEndpointId(entry.key));
         }
     }
 
@@ -128,7 +133,7 @@
         endpointRevision = revision;
         logGap(readMonotonicMs() - answeredAt);
         answeredAt = readMonotonicMs();
-        directory.expireLapsed(answeredAt);
+        upSince ??= answeredAt;
         if (isDown) {
             isDown = false;
             // The watch for documents may hang on a connection that the outage has killed.
@@ -144,7 +149,7 @@
     }
 
     function recordFailure(prefix: string, error: unknown, call: WatcherCall): void {
-        directory.recordStoreFailure(readMonotonicMs());
+        upSince = undefined;
         const { isListing, fromRevision } = call;
         const lastedMs = Math.round(call.lastedMs);
         logger.logFailure(EventId.PlatformCallFailed, error, { prefix, isListing, fromRevision, lastedMs });
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -62,6 +62,7 @@
     const context = createContext(settings, names, logger, {
         countRouters: () => knowledge.countRouters(),
         getEndpointAgeMs: () => knowledge.getEndpointAgeMs(),
+        getStoreUpMs: () => knowledge.getStoreUpMs(),
     });
     const metrics: DirectMetrics = createDirectMetrics({
         getConcurrent: () => callers.getConcurrent(),
@@ -110,10 +111,15 @@
     settings: DirectSettings,
     names: HeaderNames,
     logger: Logger,
-    known: Pick<Knowledge, "countRouters" | "getEndpointAgeMs">,
+    known: Pick<Knowledge, "countRouters" | "getEndpointAgeMs" | "getStoreUpMs">,
 ): DirectContext {
     const health = createEndpointHealth();
-    const directory = createEndpointDirectory({ onChange: recordChange, lapseGraceMs: settings.lapseGraceMs });
+    const { lapseGraceMs } = settings;
+    const directory = createEndpointDirectory({
+        onChange: recordChange,
+        lapseGraceMs,
+        getStoreUpMs: known.getStoreUpMs,
+    });
     const load = createLoadBoard();
     const pace = createPaceControl();
     return {
--- a/src/peers/PeerNews.ts
+++ b/src/peers/PeerNews.ts
@@ -11,6 +11,8 @@
     version: z.number().int(),
     /** Time since the platform last answered this router, in milliseconds; -1 if it never did. */
     platformAgeMs: z.number(),
+    /** Time for which the platform has answered this router without a failed call, in milliseconds. */
+    platformUpMs: z.number().default(0),
     /** Requests in progress by endpoint. */
     load: z.record(z.string(), z.number()),
     /** Digests of requests under which endpoints were lost. */
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -6,22 +6,19 @@
 
 /** A service of one endpoint with two slots, of which a part is allowed. */
 function startAdmission() {
-    const directory = createEndpointDirectory({ onChange: () => undefined, lapseGraceMs: 0 });
+    const directory = createEndpointDirectory({ onChange: () => undefined, lapseGraceMs: 0, getStoreUpMs: () => 0 });
     const load = createLoadBoard();
-    directory.applyRecord(
-        {
-            id: "i-1",
-            service: "llm",
-            host: "127.0.0.1",
-            port: 1,
-            zone: "a",
-            slots: 2,
-            isLeaving: false,
-            bornAt: 1,
-            group: undefined,
-        },
-        0,
-    );
+    directory.applyRecord({
+        id: "i-1",
+        service: "llm",
+        host: "127.0.0.1",
+        port: 1,
+        zone: "a",
+        slots: 2,
+        isLeaving: false,
+        bornAt: 1,
+        group: undefined,
+    });
     let allowedPart: number | undefined = 1;
     const pace = { recordPause: () => undefined, getAllowedPart: () => allowedPart };
     const admission = createStreamAdmission({ directory, load, pace });
--- a/tests/direct/decisionsTests.ts
+++ b/tests/direct/decisionsTests.ts
@@ -74,25 +74,27 @@
 
 t.test("an entry that lapses while the store is away stays for a time, and a leaving one goes at once", t => {
     const changes: string[] = [];
+    let storeUpMs = 60_000;
     const directory = createEndpointDirectory({
         lapseGraceMs: 2_000,
+        getStoreUpMs: () => storeUpMs,
         onChange: (change, record) => changes.push(`${record.id} ${change}`),
     });
-    directory.applyListing([buildRecord("1"), buildRecord("2"), buildRecord("3")], 0);
-    directory.recordStoreFailure(1_000);
-    directory.applyRecord(buildRecord("3", { isLeaving: true }), 1_100);
-    directory.applyListing([], 1_200);
+    directory.applyListing([buildRecord("1"), buildRecord("2"), buildRecord("3")]);
+    storeUpMs = 100;
+    directory.applyRecord(buildRecord("3", { isLeaving: true }));
+    directory.applyListing([]);
     t.strictSame(
         directory.listServing("app").map(record => record.id),
         ["1", "2"],
     );
-    directory.applyRecord(buildRecord("1"), 2_000);
-    directory.expireLapsed(3_300);
+    directory.applyRecord(buildRecord("1"));
+    storeUpMs = 2_000;
     t.strictSame(
         directory.listServing("app").map(record => record.id),
         ["1"],
     );
-    directory.removeRecord("1", 9_000);
+    directory.removeRecord("1");
     t.strictSame(directory.listServing("app"), []);
     t.equal(changes.at(-1), `1 ${DirectoryChange.Removed}`);
     t.end();
@@ -100,9 +102,13 @@
 
 t.test("an endpoint that starts again under its identifier is told", t => {
     const changes: DirectoryChange[] = [];
-    const directory = createEndpointDirectory({ lapseGraceMs: 1, onChange: change => changes.push(change) });
-    directory.applyRecord(buildRecord("1"), 0);
-    directory.applyRecord(buildRecord("1", { bornAt: 2 }), 0);
+    const directory = createEndpointDirectory({
+        lapseGraceMs: 1,
+        getStoreUpMs: () => 1,
+        onChange: change => changes.push(change),
+    });
+    directory.applyRecord(buildRecord("1"));
+    directory.applyRecord(buildRecord("1", { bornAt: 2 }));
     t.strictSame(changes, [DirectoryChange.Added, DirectoryChange.Restarted]);
     t.end();
 });
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -32,7 +32,7 @@
         [KEY],
     );
     const heard = { address: ADDRESS, version: 0, platformAgeMs: 0 } as RouterNews;
-    const directory = createEndpointDirectory({ lapseGraceMs: 1, onChange: () => undefined });
+    const directory = createEndpointDirectory({ lapseGraceMs: 1, getStoreUpMs: () => 1, onChange: () => undefined });
     const holder = createRouteIndexHolder(() => undefined);
     const fallback = startPeerFallback({
         processKey: KEY,
@@ -68,7 +68,7 @@
 t.test("a peer that knows less brings no endpoint back that is gone", async t => {
     const knowledge = { document: undefined, endpoints: [buildRecord("gone")], endpointRevision: 7 };
     const { directory } = await startSilencedRouter(t, knowledge, 9);
-    directory.applyListing([buildRecord("1")], 0);
+    directory.applyListing([buildRecord("1")]);
     await waitFor(SETTLE_MS);
     t.strictSame(
         directory.listServing("app").map(record => record.id),
--- a/tests/peers/peerNewsTests.ts
+++ b/tests/peers/peerNewsTests.ts
@@ -21,6 +21,7 @@
             zone,
             version: 3,
             platformAgeMs: 0,
+            platformUpMs: 0,
             load: { "i-1": 2 },
             suspects: [],
             isLeaving: false,
