Tell of removed entries that a watch never saw written

A router that was cut off from the store learns of a new endpoint from a peer. When the cut ends and the endpoint has been removed meanwhile, the store's watch tells only the removal, and the watcher dropped it, since it knew no such entry.

--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -15,6 +15,7 @@
     /** All entries, after a start or when the history was lost. */
     onListing(entries: readonly KeyValueEntry[]): void;
     onChanged(entry: KeyValueEntry): void;
+    /** Also told of an entry that was written and removed between two answers: its listener may know it from elsewhere. */
     onDeleted(key: string): void;
     /** The service has answered, with or without changes, up to a revision. */
     onAnswer(revision: number): void;
@@ -116,9 +117,8 @@
             }
         }
         for (const key of answer.deleted) {
-            if (revisions.delete(key)) {
-                listener.onDeleted(key);
-            }
+            revisions.delete(key);
+            listener.onDeleted(key);
         }
         revision = Math.max(revision ?? 0, answer.revision);
     }
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -68,8 +68,15 @@
     };
 }
 
-/** Starts a router and some endpoints. */
-export async function startDirectSystem(t: OwningTest, endpointCount = 2): Promise<DirectSystem> {
+/**
+ * Starts a router and some endpoints.
+ * @param wrapStore - Gives what the router sees of the store.
+ */
+export async function startDirectSystem(
+    t: OwningTest,
+    endpointCount = 2,
+    wrapStore = (store: KeyValueStore): KeyValueService => store,
+): Promise<DirectSystem> {
     const store = createKeyValueStore();
     const lines: string[] = [];
     const logger = createLogger("r1", { writeLine: line => lines.push(line), flush: () => Promise.resolve() });
@@ -81,7 +88,7 @@
     for (const index of endpoints.keys()) {
         await writeEndpoint(index);
     }
-    const platform = { service: store, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
+    const platform = { service: wrapStore(store), codec: createPlatformCodec(logger), names: WIRE_HEADERS };
     const router = await startDirectRouter(settings, platform, logger);
     t.teardown(async () => {
         await Promise.all([router.stop(), ...endpoints.map(endpoint => endpoint.close())]);
--- a/tests/direct/leavingTests.ts
+++ b/tests/direct/leavingTests.ts
@@ -11,6 +11,8 @@
 /** Time in which a leaving endpoint is to be left alone, in milliseconds; the settings of the fixture have the same. */
 const LEAVING_MS = 2_000;
 const CUT_MS = 600;
+/** Time that the client of the store allows for an answer, in milliseconds. */
+const CLIENT_LIMIT_MS = 700;
 const CALL_PERIOD_MS = 25;
 const WATCHED_MS = 4_000;
 
@@ -22,14 +24,31 @@
 interface CutService {
     service: KeyValueService;
     isCut: boolean;
+    /** Hangs the next watch call for endpoints, as on a connection that is dead, and tells when. */
+    hangNextWatch(): Promise<void>;
 }
 
 function createCutService(store: KeyValueStore): CutService {
-    const cut: CutService = { service: Object.create(store) as KeyValueService, isCut: false };
+    let onHang: (() => void) | undefined;
+    const service = Object.create(store) as KeyValueService;
+    const cut: CutService = {
+        service,
+        isCut: false,
+        hangNextWatch: () => new Promise(resolve => (onHang = resolve)),
+    };
     const fail = (): Promise<never> =>
         Promise.reject(createError({ code: ErrorCode.PlatformUncertain, expected: "an answer", got: "silence" }));
-    cut.service.watchEntries = (...call) => (cut.isCut ? fail() : store.watchEntries(...call));
-    cut.service.listSnapshot = (...call) => (cut.isCut ? fail() : store.listSnapshot(...call));
+    service.watchEntries = async (...call) => {
+        const [prefix, , waitMs, signal] = call;
+        if (onHang !== undefined && prefix === "servers/") {
+            onHang();
+            onHang = undefined;
+            await waitFor(waitMs + CLIENT_LIMIT_MS, signal);
+            return fail();
+        }
+        return cut.isCut ? fail() : store.watchEntries(...call);
+    };
+    service.listSnapshot = (...call) => (cut.isCut ? fail() : store.listSnapshot(...call));
     return cut;
 }
 
@@ -61,3 +80,32 @@
     const lastMs = await playRequests(second, 0, readMonotonicMs());
     t.ok(lastMs <= LEAVING_MS, `the last request came after ${Math.round(lastMs)} ms`);
 });
+
+t.test("an endpoint that leaves while a watch hangs on a dead connection gets no request past the bound", async t => {
+    let hung = Promise.resolve();
+    const system = await startDirectSystem(t, 1, store => {
+        const cut = createCutService(store);
+        hung = cut.hangNextWatch();
+        return cut.service;
+    });
+    await hung;
+    await system.writeEndpoint(0, "draining");
+    const lastMs = await playRequests(system, 0, readMonotonicMs());
+    t.ok(lastMs <= LEAVING_MS, `the last request came after ${Math.round(lastMs)} ms`);
+});
+
+t.test("an endpoint that a peer told of, and that left, gets no request past the bound", async t => {
+    const first = await startDirectSystem(t, 3);
+    const cut = createCutService(first.store);
+    await writeKey(first.store, "servers/i-2", undefined);
+    const second = await startRouterBeside(t, first, SECOND_ADDRESS, cut.service);
+    cut.isCut = true;
+    await first.writeEndpoint(2);
+    while (!second.lines.some(line => line.includes('"added","endpoint":"i-2"'))) {
+        await waitFor(CALL_PERIOD_MS);
+    }
+    cut.isCut = false;
+    await writeKey(first.store, "servers/i-2", undefined);
+    const lastMs = await playRequests(second, 2, readMonotonicMs());
+    t.ok(lastMs <= LEAVING_MS, `the last request came after ${Math.round(lastMs)} ms`);
+});
