Give up a watch that hangs, in time for a second call within the bound of a leaving endpoint

The watch for endpoints waited 900 ms between calls, 2000 ms in a call and 700 ms for its answer; on a dead connection that is 3600 ms against a bound of 2000.

Period, wait and time for an answer are now parts of the bound (0.4, 0.2, 0.3), and a call that hung is made again at once on a new connection.

--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -37,16 +37,18 @@
 /** Longest wait for a new document; peers tell of one that this router misses. */
 const DOCUMENT_WAIT_MS = 2_500;
 const DOCUMENT_PERIOD_MS = 50;
-/** Bounds the silence by which an outage is seen. */
-const ENDPOINT_WAIT_MS = 2_000;
+/** Time beyond its wait in which a watch for documents is answered, in milliseconds; that of the store's client. */
+const DOCUMENT_ANSWER_MS = 700;
 /**
- * Part of the time in which a leaving endpoint is to be known that passes between two calls: endpoints renew their
- * entries all the time, so each call is answered at once.
+ * Parts of the time in which a leaving endpoint is to be known: the least time between two calls of the watch, its wait,
+ * and the time for its answer. Together they leave a tenth for a second call, after one that hung on a dead connection.
  */
-const ENDPOINT_PERIOD_PART = 0.45;
-/** Longest such period, in milliseconds; well below the silence from which the store counts as out of reach. */
+const ENDPOINT_PERIOD_PART = 0.4;
+const ENDPOINT_WAIT_PART = 0.2;
+const ENDPOINT_ANSWER_PART = 0.3;
+/** Longest such period and time for an answer, in milliseconds; together below the silence of a store out of reach. */
 const MAX_ENDPOINT_PERIOD_MS = 900;
-
+const MAX_ENDPOINT_ANSWER_MS = 700;
 /** Part of the time in which a leaving endpoint is to be known after which a missing answer is worth a line in the log. */
 const LATE_PART = 0.5;
 
@@ -66,6 +68,7 @@
         prefix: codec.documentPrefix,
         waitMs: DOCUMENT_WAIT_MS,
         periodMs: DOCUMENT_PERIOD_MS,
+        answerMs: DOCUMENT_ANSWER_MS,
         listener: {
             onListing: entries => entries.forEach(takeDocument),
             onChanged: takeDocument,
@@ -77,8 +80,9 @@
     const endpointWatcher: PrefixWatcher = startPrefixWatcher({
         service,
         prefix: codec.endpointPrefix,
-        waitMs: ENDPOINT_WAIT_MS,
+        waitMs: ENDPOINT_WAIT_PART * options.leavingMs,
         periodMs: Math.min(MAX_ENDPOINT_PERIOD_MS, ENDPOINT_PERIOD_PART * options.leavingMs),
+        answerMs: Math.min(MAX_ENDPOINT_ANSWER_MS, ENDPOINT_ANSWER_PART * options.leavingMs),
         listener: {
             onListing(entries) {
                 const records = entries.map(readEndpoint).filter(record => record !== undefined);
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -1,4 +1,4 @@
-import { ErrorCode, hasErrorCode } from "../errors/index.js";
+import { ErrorCode, createError, hasErrorCode } from "../errors/index.js";
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
 import type { KeyValueEntry, KeyValueService, WatchAnswer } from "./KeyValueService.js";
 
@@ -31,6 +31,8 @@
     waitMs: number;
     /** Least time between two calls, in milliseconds: changes in between come with one answer. */
     periodMs: number;
+    /** Time beyond its wait after which a call of a watch counts as hung and is made again, in milliseconds. */
+    answerMs: number;
     listener: PrefixListener;
 }
 
@@ -44,6 +46,8 @@
 /** Pause after a failed call, in milliseconds; doubles up to the greatest. */
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 400;
+/** Most times that the time for an answer is doubled while calls hang: a slow service would never get to answer. */
+const MAX_HUNG_DOUBLINGS = 3;
 
 /**
  * Starts to follow the entries below a prefix: one listing, then watches from its revision on.
@@ -56,6 +60,8 @@
     let revisions = new Map<string, number>();
     let retryMs = FIRST_RETRY_MS;
     let running = new AbortController();
+    /** Calls that hung in a row. */
+    let hung = 0;
     const loop: Loop = startLoop(0, follow, () => undefined);
     return {
         restart() {
@@ -77,12 +83,13 @@
             if (revision === undefined) {
                 await readListing();
             } else {
-                const answer = await service.watchEntries(prefix, revision, options.waitMs, signal);
+                const answer = await watchInTime(revision, signal);
                 if (running.signal.aborted) {
                     return;
                 }
                 applyAnswer(answer);
             }
+            hung = 0;
             retryMs = FIRST_RETRY_MS;
             listener.onAnswer(revision ?? 0);
         } catch (error) {
@@ -95,6 +102,9 @@
             }
             const lastedMs = readMonotonicMs() - startedAt;
             listener.onFailure(error, { isListing: revision === undefined, fromRevision, lastedMs });
+            if (hasErrorCode(error, ErrorCode.Timeout)) {
+                return;
+            }
             await waitFor(retryMs, signal);
             retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
             return;
@@ -102,6 +112,29 @@
         await waitFor(Math.max(0, options.periodMs - (readMonotonicMs() - startedAt)), signal);
     }
 
+    /** Gives a call up once it must have been answered: its connection may be dead, and a new call gets a new one. */
+    async function watchInTime(fromRevision: number, signal: AbortSignal): Promise<WatchAnswer> {
+        const limitMs = options.waitMs + options.answerMs * 2 ** Math.min(hung, MAX_HUNG_DOUBLINGS);
+        const limit = new AbortController();
+        const timer = setTimeout(() => limit.abort(), limitMs);
+        try {
+            const both = AbortSignal.any([signal, limit.signal]);
+            const answer = await service.watchEntries(prefix, fromRevision, options.waitMs, both);
+            if (!limit.signal.aborted) {
+                return answer;
+            }
+        } catch (error) {
+            if (!limit.signal.aborted) {
+                throw error;
+            }
+        } finally {
+            clearTimeout(timer);
+        }
+        hung++;
+        const expected = `an answer to a watch below ${prefix} within ${limitMs} ms`;
+        throw createError({ code: ErrorCode.Timeout, expected, got: "silence" });
+    }
+
     async function readListing(): Promise<void> {
         const listing = await service.listSnapshot(prefix);
         revision = listing.revision;
--- a/tests/platform/prefixWatcherTests.ts
+++ b/tests/platform/prefixWatcherTests.ts
@@ -14,6 +14,7 @@
         prefix: "a/",
         waitMs: WAIT_MS,
         periodMs: 0,
+        answerMs: WAIT_MS,
         listener: {
             onListing: entries => seen.push(`listed ${entries.map(entry => entry.value).join(" ")}`),
             onChanged: (entry: KeyValueEntry) => seen.push(`changed ${entry.value}`),
