Give up endpoints that send bytes without end before or in an answer

A server in trouble may send bytes that are no answer until the caller closes. Callers saw: nothing until the time of the route was over (504 or a cut stream after 2.0 s in the tests), or up to 160 MB of an endpoint's bytes passed on as a stream; other endpoints were not tried.

Cause: the parser takes empty lines and informational answers for ever; an event without an end was passed on in pieces of 1 MiB, and events without a new identifier without a bound; an answer was held up to 16 MiB, and tiny chunks kept many times their size alive.

Change: a head ends within 64 KiB, a stream has a new identifier every 64 KiB, a held answer has at most 1 MiB, and bodies are copied together. The connection is closed, a repeatable request or a stream goes on elsewhere, another one gets 502. The splitter looks at each byte once.

--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -1,5 +1,7 @@
 import http from "node:http";
 import type { Socket } from "node:net";
+import { ErrorCode, hasErrorCode } from "../errors/index.js";
+import { limitAnswerHead } from "../utils/limitAnswerHead.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
 
@@ -87,6 +89,7 @@
         const connectTimer = setTimeout(() => call.destroy(new Error("connect timeout")), CONNECT_TIMEOUT_MS);
         call.on("socket", socket => {
             socket.setNoDelay(true);
+            limitAnswerHead(call, socket);
             socket.once("connect", () => {
                 isConnected = true;
                 clearTimeout(connectTimer);
@@ -148,7 +151,8 @@
         return { failure: CallFailure.Unreachable, mayHaveRun: false, detail: error.message };
     }
     const isParseError = (error as NodeJS.ErrnoException).code?.startsWith("HPE_") === true;
-    return { failure: isParseError ? CallFailure.Spoiled : CallFailure.Cut, mayHaveRun: true, detail: error.message };
+    const isNoAnswer = isParseError || hasErrorCode(error, ErrorCode.TooLarge);
+    return { failure: isNoAnswer ? CallFailure.Spoiled : CallFailure.Cut, mayHaveRun: true, detail: error.message };
 }
 
 /** Checks that the answer belongs to the request, and that a success bears a signature. */
--- a/src/direct/EventSplitter.ts
+++ b/src/direct/EventSplitter.ts
@@ -9,8 +9,11 @@
 
 /** Cuts a stream of server-sent events at the ends of its events. */
 export interface EventSplitter {
-    /** Takes bytes in and gives the events that have become whole. */
-    takeChunk(chunk: Buffer): SplitEvents;
+    /**
+     * Takes bytes in and gives the events that have become whole.
+     * @returns Undefined if there is no end to bytes without a new identifier, so that they are no stream of events.
+     */
+    takeChunk(chunk: Buffer): SplitEvents | undefined;
     /** Gets the bytes after the last whole event. */
     getRest(): Buffer;
 }
@@ -18,45 +21,53 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/g;
-/** Largest event that is held back until it is whole, in bytes. */
-const MAX_EVENT_BYTES = 1_048_576;
+/** Most bytes from one event with a new identifier to the next, in bytes; many times a usual event. */
+const MAX_EVENT_BYTES = 65_536;
 
 /** Creates a splitter for one run of a stream. */
 export function createEventSplitter(): EventSplitter {
-    let rest: Buffer = Buffer.alloc(0);
-    return { takeChunk, getRest: () => rest };
+    const scanner = createEventScanner();
+    let rest: Buffer[] = [];
+    let restBytes = 0;
+    let lastId: string | undefined;
+    let bytesSinceId = 0;
+    return { takeChunk, getRest: () => Buffer.concat(rest) };
 
-    function takeChunk(chunk: Buffer): SplitEvents {
-        rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
-        const { end, count } = findLastEventEnd(rest);
-        const isTooLong = end === 0 && rest.length > MAX_EVENT_BYTES;
-        const cut = isTooLong ? rest.length : end;
-        const bytes = rest.subarray(0, cut);
-        rest = rest.subarray(cut);
-        return { bytes, count, lastId: findLastId(bytes) };
+    function takeChunk(chunk: Buffer): SplitEvents | undefined {
+        const { end, count } = scanner.findLastEnd(chunk);
+        const bytes = end === 0 ? Buffer.alloc(0) : Buffer.concat([...rest, chunk.subarray(0, end)]);
+        rest = end === 0 ? rest : [];
+        rest.push(chunk.subarray(end));
+        restBytes = (end === 0 ? restBytes : 0) + chunk.length - end;
+        const id = findLastId(bytes);
+        const isNew = id !== undefined && id !== lastId;
+        bytesSinceId = isNew ? 0 : bytesSinceId + bytes.length;
+        lastId = id ?? lastId;
+        return bytesSinceId + restBytes > MAX_EVENT_BYTES ? undefined : { bytes, count, lastId: id };
     }
 }
 
-/** An event ends with an empty line, whatever the line ends are. */
-function findLastEventEnd(bytes: Buffer): { end: number; count: number } {
-    let end = 0;
-    let count = 0;
+/** Finds the ends of events in a stream; an event ends with an empty line, whatever the line ends are. */
+function createEventScanner(): { findLastEnd(chunk: Buffer): { end: number; count: number } } {
     let isLineEmpty = false;
-    for (let index = 0; index < bytes.length; index++) {
-        if (bytes[index] === CARRIAGE_RETURN) {
-            continue;
-        }
-        if (bytes[index] !== LINE_FEED) {
-            isLineEmpty = false;
-            continue;
-        }
-        if (isLineEmpty) {
-            end = index + 1;
-            count++;
-        }
-        isLineEmpty = true;
-    }
-    return { end, count };
+    return {
+        findLastEnd(chunk) {
+            let end = 0;
+            let count = 0;
+            for (let index = 0; index < chunk.length; index++) {
+                if (chunk[index] === CARRIAGE_RETURN) {
+                    continue;
+                }
+                const isEnd = chunk[index] === LINE_FEED && isLineEmpty;
+                if (isEnd) {
+                    end = index + 1;
+                    count++;
+                }
+                isLineEmpty = chunk[index] === LINE_FEED && !isEnd;
+            }
+            return { end, count };
+        },
+    };
 }
 
 function findLastId(bytes: Buffer): string | undefined {
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -61,6 +61,10 @@
 
             function relayChunk(chunk: Buffer): void {
                 const events = splitter.takeChunk(chunk);
+                if (events === undefined) {
+                    finish(false);
+                    return;
+                }
                 if (events.bytes.length === 0) {
                     return;
                 }
--- a/src/direct/relay/WholeRelay.ts
+++ b/src/direct/relay/WholeRelay.ts
@@ -6,8 +6,11 @@
 import type { OpenedAnswer } from "../EndpointCall.js";
 import { AnswerRelay, RelayEnd } from "./AnswerRelay.js";
 
-/** Largest answer that is held until it is whole, in bytes; several times the largest answers of plain services. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/**
+ * Largest answer that is held until it is whole, in bytes: many times the answers of plain services, and little enough
+ * that a hundred endpoints which send without end don't fill a router's memory.
+ */
+const MAX_ANSWER_BYTES = 1024 * 1024;
 const FIRST_FAILURE_STATUS = 500;
 
 interface KeptAnswer {
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -24,6 +24,8 @@
 }
 
 const DEFAULT_MAX_BYTES = 16 * 1024 * 1024;
+/** Memory for a body before it is known to be longer, in bytes. */
+const FIRST_BODY_BYTES = 4_096;
 
 /**
  * Sends a request and reads the whole answer.
@@ -71,11 +73,11 @@
  */
 export function readWholeBody(stream: http.IncomingMessage, maxBytes: number): Promise<Buffer> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
+        // Small chunks are copied together: each would keep the whole buffer alive that it was read into.
+        let body = Buffer.alloc(FIRST_BODY_BYTES);
         let size = 0;
         stream.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > maxBytes) {
+            if (size + chunk.length > maxBytes) {
                 stream.removeAllListeners("data");
                 reject(
                     createError({
@@ -86,9 +88,13 @@
                 );
                 return;
             }
-            chunks.push(chunk);
+            if (size + chunk.length > body.length) {
+                body = Buffer.concat([body.subarray(0, size)], Math.max(size + chunk.length, body.length * 2));
+            }
+            chunk.copy(body, size);
+            size += chunk.length;
         });
-        stream.on("end", () => resolve(Buffer.concat(chunks)));
+        stream.on("end", () => resolve(body.subarray(0, size)));
         stream.on("error", reject);
         stream.on("close", () => {
             if (!stream.complete) {
--- a/tests/direct/decisionsTests.ts
+++ b/tests/direct/decisionsTests.ts
@@ -210,6 +210,9 @@
             for (let at = 0, piece = 0; at < text.length; piece++) {
                 const size = sizes[piece % Math.max(1, sizes.length)] ?? 7;
                 const split = splitter.takeChunk(Buffer.from(text.slice(at, at + size)));
+                if (split === undefined) {
+                    return false;
+                }
                 passed += split.bytes.toString();
                 count += split.count;
                 lastId = split.lastId ?? lastId;
