Log where the time of a change of the map goes

The logs of the grown deployments told how long a change took, but not whether the copies, the switch, the plan or the wait for new counts took it.

--- a/src/groups/ordered/MapChange.ts
+++ b/src/groups/ordered/MapChange.ts
@@ -25,6 +25,9 @@
 export interface ChangeResult {
     end: ChangeEnd;
     detail: string;
+    /** Time until all ranks had copied their experts, and from there until the release, in milliseconds. */
+    prepareMs?: number;
+    switchMs?: number;
 }
 
 /** Result of a settlement. */
@@ -119,15 +122,22 @@
         const epoch = reports[0]?.epoch ?? 0;
         let isArming = false;
         try {
-            const preparedBy = readMonotonicMs() + options.prepareMs;
+            const startedAt = readMonotonicMs();
+            const preparedBy = startedAt + options.prepareMs;
             await orderAll({ kind: RankOrderKind.Prepare, version, map }, epoch, preparedBy);
             const prepared = await waitUntilPrepared(version, epoch, preparedBy);
             isArming = true;
-            const switchedBy = readMonotonicMs() + options.switchMs;
+            const preparedAt = readMonotonicMs();
+            const switchedBy = preparedAt + options.switchMs;
             const step = await holdGroup(prepared, epoch, switchedBy);
             await orderAll({ kind: RankOrderKind.Arm, version, step }, epoch, switchedBy);
             await orderRank(HOLDING_RANK, { kind: RankOrderKind.Release, step }, epoch, switchedBy);
-            return { end: ChangeEnd.Changed, detail: `from pass ${step}` };
+            return {
+                end: ChangeEnd.Changed,
+                detail: `from pass ${step}`,
+                prepareMs: Math.round(preparedAt - startedAt),
+                switchMs: Math.round(readMonotonicMs() - preparedAt),
+            };
         } catch (error) {
             return { end: isArming ? ChangeEnd.Unsettled : ChangeEnd.Abandoned, detail: getReason(error) };
         }
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -90,6 +90,8 @@
     let rounds = 0;
     /** A new coordinator fences its predecessors before it changes anything. */
     let isSettled = false;
+    /** End of the last try to change the map. */
+    let changedAt = readMonotonicMs();
     /** First pass after which a change may be made. */
     let quietUntil = 0;
     return { runRound };
@@ -224,10 +226,14 @@
             loadAfter: Number(planned.toFixed(3)),
             copies: plans.reduce((sum, plan) => sum + plan.copies, 0),
             planMs,
+            prepareMs: result.prepareMs,
+            switchMs: result.switchMs,
+            sinceLastMs: Math.round(now - changedAt),
             isBusy,
             slowestPace: Math.max(...paces),
             tookMs: Math.round(readMonotonicMs() - now),
         });
+        changedAt = readMonotonicMs();
         isSettled = result.end !== ChangeEnd.Unsettled;
     }
 
