Plan the sets of a large group's map at as many agents; switch two passes ahead

Each set is planned by another agent at the same time; one that does not answer is spared. A switch is two passes ahead, and a look is due 1 ms a rank after the last.

--- a/src/groups/ordered/AgentRankLink.ts
+++ b/src/groups/ordered/AgentRankLink.ts
@@ -13,6 +13,7 @@
     RankOrderKind,
     type RankReport,
 } from "./RankReport.js";
+import type { PlanLimits, SetPlan } from "./planMap.js";
 import { encodeChange, encodeMap } from "./PackedMap.js";
 import type { RankControl, RankLook, WireOrder, WireOrderResult } from "./rankControl.js";
 
@@ -20,6 +21,12 @@
 export abstract class AgentRankLink extends RankLink {
     /** Reads report and counts with one call. */
     abstract look(): Promise<{ report: RankReport; counts: RankCounts }>;
+    /** Lets the agent plan one set of layers; see `planSet`. */
+    abstract planSet(
+        experts: readonly (readonly number[])[],
+        expertLoads: readonly number[],
+        limits: PlanLimits,
+    ): Promise<SetPlan>;
     abstract close(): void;
 }
 
@@ -62,6 +69,25 @@
             return { report, counts: decoder.decodeCounts(counts) };
         }
 
+        override async planSet(
+            experts: readonly (readonly number[])[],
+            expertLoads: readonly number[],
+            limits: PlanLimits,
+        ): Promise<SetPlan> {
+            return client.call(
+                (control, signal) =>
+                    control.planSet.query(
+                        {
+                            experts: experts.map(ofRank => [...ofRank]),
+                            expertLoads: expertLoads.map(Math.round),
+                            limits: { ...limits, paces: limits.paces && [...limits.paces] },
+                        },
+                        { signal },
+                    ),
+                options.timeoutMs,
+            );
+        }
+
         override async readExperts(): Promise<RankExperts> {
             return client.call(
                 (control, signal) => control.readExperts.query(undefined, { signal }),
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -1,12 +1,13 @@
 import { EventId } from "../../telemetry/EventId.js";
 import type { Logger } from "../../telemetry/logger.js";
-import { readMonotonicMs, waitFor } from "../../utils/time.js";
+import { readMonotonicMs } from "../../utils/time.js";
 import type { AgentRankLink } from "./AgentRankLink.js";
 import { type ExpertLoads, createExpertLoads } from "./ExpertLoads.js";
 import { ChangeEnd, computeQuietPasses, createMapChanger } from "./MapChange.js";
 import type { RankMetrics } from "./RankMetrics.js";
 import type { ExpertMap, RankCounts, RankReport } from "./RankReport.js";
-import { type PlanLimits, type SetPlan, computeSetRatio, planSet } from "./planMap.js";
+import { type PlanLimits, computeSetRatio } from "./planMap.js";
+import { planSets } from "./planSets.js";
 
 /** Layout of the experts in a group. */
 export interface GroupLayout {
@@ -54,7 +55,7 @@
 const SWITCH_MS = 1_500;
 const POLL_MS = 25;
 /** Passes between the newest one known and the switch: orders take a few milliseconds, a pass takes tens. */
-const LEAD_PASSES = 3;
+const LEAD_PASSES = 2;
 /** Versions grow with time, so that a coordinator that knows no earlier one still chooses a higher one. */
 const VERSION_PERIOD_MS = 100;
 const VERSION_START = 17_000_000_000;
@@ -201,12 +202,7 @@
             paces,
             leastGainPerCopy: isBusy ? GAIN_PER_COPY_BUSY : GAIN_PER_COPY_IDLE,
         };
-        const plans: SetPlan[] = [];
-        for (const [set, ofSet] of current.entries()) {
-            plans.push(planSet(ofSet, expertLoads[set] ?? [], limits));
-            // Looks and orders of other coordinators are answered between two sets.
-            await waitFor(0);
-        }
+        const plans = await planSets({ links, current, expertLoads, limits });
         const planned = computeMean(plans.map(plan => plan.after));
         if (ratio - planned < leastGain) {
             return;
--- a/src/groups/ordered/rankControl.ts
+++ b/src/groups/ordered/rankControl.ts
@@ -11,6 +11,7 @@
     RankOrderKind,
     type RankReport,
 } from "./RankReport.js";
+import { type SetPlan, planSet } from "./planMap.js";
 import { type PackedChange, type PackedMap, applyChange, decodeMap } from "./PackedMap.js";
 
 /** Receivers of the control calls of a rank's agent. */
@@ -71,6 +72,16 @@
     z.object({ kind: z.literal(RankOrderKind.Hold), step }),
     z.object({ kind: z.literal(RankOrderKind.Release), step }),
 ]);
+const planSchema = z.object({
+    experts: z.array(z.array(count)),
+    expertLoads: z.array(z.number().min(0)),
+    limits: z.object({
+        placements: count,
+        reserve: count,
+        paces: z.array(z.number()).optional(),
+        leastGainPerCopy: z.number(),
+    }),
+});
 const termSchema = z.object({ term: z.number().int() });
 
 /**
@@ -94,6 +105,9 @@
                 const delta = encoder.encodeCounts(counts);
                 return { isAccepted: true, report, counts: input.hasCounts ? delta : undefined };
             }),
+        planSet: processProcedure
+            .input(planSchema)
+            .query(({ input }): SetPlan => planSet(input.experts, input.expertLoads, input.limits)),
         readExperts: processProcedure.query((): Promise<RankExperts> => link.readExperts()),
         sendOrder: processProcedure
             .input(
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -36,7 +36,7 @@
 /** Period in which a coordinator looks at its group, in milliseconds; several looks in the time of a usual answer. */
 const ROUND_MS = 150;
 /** Further pause for each rank beyond the first, so that a large group's coordinator stays within its share, in milliseconds. */
-const ROUND_PER_RANK_MS = 2;
+const ROUND_PER_RANK_MS = 1;
 const CALL_TIMEOUT_MS = 250;
 /** Time after which the members of a group that isn't whole are listed anew, in milliseconds. */
 const INCOMPLETE_MS = 1_000;
--- a/tests/groups/ordered/coordinatorTests.ts
+++ b/tests/groups/ordered/coordinatorTests.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { AgentRankLink } from "../../../src/groups/ordered/AgentRankLink.js";
+import { planSet } from "../../../src/groups/ordered/planMap.js";
 import { createMapCoordinator } from "../../../src/groups/ordered/MapCoordinator.js";
 import {
     OrderAnswer,
@@ -26,6 +27,10 @@
                     return { report: group.getReport(rank), counts: await this.readCounts() };
                 }
 
+                override planSet(...plan: Parameters<AgentRankLink["planSet"]>) {
+                    return Promise.resolve(planSet(...plan));
+                }
+
                 override async readReport(): Promise<RankReport> {
                     return group.getReport(rank);
                 }
--- a/tests/groups/ordered/mapFaults.ts
+++ b/tests/groups/ordered/mapFaults.ts
@@ -10,6 +10,7 @@
     RankOrderKind,
     type RankReport,
 } from "../../../src/groups/ordered/index.js";
+import { planSet } from "../../../src/groups/ordered/planMap.js";
 import { createMapCoordinator } from "../../../src/groups/ordered/MapCoordinator.js";
 import { createLogger } from "../../../src/telemetry/logger.js";
 import { buildList } from "../../../src/utils/list.js";
@@ -67,6 +68,10 @@
             return { report: await this.readReport(), counts: buildCounts() };
         }
 
+        override planSet(...plan: Parameters<AgentRankLink["planSet"]>) {
+            return Promise.resolve(planSet(...plan));
+        }
+
         override async readReport(): Promise<RankReport> {
             await reachAgent();
             acceptTerm();
--- /dev/null
+++ b/tests/groups/ordered/planSetsTests.ts
@@ -0,0 +1,50 @@
+import t from "tap";
+import type { AgentRankLink } from "../../../src/groups/ordered/AgentRankLink.js";
+import type { PlanLimits } from "../../../src/groups/ordered/planMap.js";
+import { planSet } from "../../../src/groups/ordered/planMap.js";
+import { planSets } from "../../../src/groups/ordered/planSets.js";
+import { buildList } from "../../../src/utils/list.js";
+
+const SIZE = { layerSets: 12, ranks: 72, experts: 144 };
+const LIMITS: PlanLimits = { placements: 3, reserve: 2, leastGainPerCopy: 0.015 };
+
+/** Links to agents that plan, but for those that stay silent. */
+function buildLinks(ranks: number, isSilent: (rank: number) => boolean) {
+    const planned: number[] = [];
+    const links = buildList(ranks, rank => ({
+        planSet(...plan: Parameters<AgentRankLink["planSet"]>) {
+            planned.push(rank);
+            return isSilent(rank) ? Promise.reject(new Error("silence")) : Promise.resolve(planSet(...plan));
+        },
+    }));
+    return { links: links as unknown as AgentRankLink[], planned };
+}
+
+function buildGroup(layerSets: number, ranks: number) {
+    const current = buildList(layerSets, () =>
+        buildList(ranks, rank => [rank, rank + ranks].filter(expert => expert < SIZE.experts)),
+    );
+    const expertLoads = buildList(layerSets, set =>
+        buildList(SIZE.experts, expert => 1_000 / (1 + ((expert * (set + 3)) % SIZE.experts))),
+    );
+    return { current, expertLoads, limits: LIMITS };
+}
+
+t.test("the sets of a large group are planned by as many agents, as one would plan them", async t => {
+    const group = buildGroup(SIZE.layerSets, SIZE.ranks);
+    const { links, planned } = buildLinks(SIZE.ranks, rank => rank === 0);
+    const plans = await planSets({ ...group, links });
+    t.equal(new Set(planned).size, SIZE.layerSets);
+    t.strictSame(
+        plans,
+        group.current.map((ofSet, set) => planSet(ofSet, group.expertLoads[set] ?? [], LIMITS)),
+        "also where an agent is silent",
+    );
+});
+
+t.test("a small group's coordinator plans by itself", async t => {
+    const group = buildGroup(2, SIZE.ranks);
+    const { links, planned } = buildLinks(SIZE.ranks, () => false);
+    t.equal((await planSets({ ...group, links })).length, 2);
+    t.strictSame(planned, []);
+});
