Encode a map once for all agents, and prepare half of a large group at a time

The forms of a map are made once for all links; 36 ranks prepare at a time; a change goes by the reports of the look that led to it, in place of asking all ranks again: a coordinator of a later term shows by refused orders.

--- a/src/groups/ordered/AgentRankLink.ts
+++ b/src/groups/ordered/AgentRankLink.ts
@@ -3,7 +3,6 @@
 import { type CountsDelta, createCountsDecoder } from "./CountsDelta.js";
 import { RankLink } from "./RankLink.js";
 import {
-    type ExpertMap,
     type OrderCondition,
     OrderAnswer,
     type OrderResult,
@@ -14,7 +13,7 @@
     type RankReport,
 } from "./RankReport.js";
 import type { PlanLimits, SetPlan } from "./planMap.js";
-import { encodeChange, encodeMap } from "./PackedMap.js";
+import type { KnownMap, MapEncoder } from "./MapEncoder.js";
 import type { RankControl, RankLook, WireOrder, WireOrderResult } from "./rankControl.js";
 
 /** Link to a rank through the agent beside it. */
@@ -38,6 +37,8 @@
     getTerm: () => number;
     /** The agent has heard a coordinator of a higher term. */
     onSuperseded: () => void;
+    /** Encodes the maps, for all links of the group. */
+    encoder: MapEncoder;
     /** Time allowed for a call, in milliseconds. */
     timeoutMs: number;
 }
@@ -50,7 +51,7 @@
     const decoder = createCountsDecoder();
     const client: ControlClient<RankControl> = createControlClient(options.address, options.processKey);
     /** Map of the last order that the agent has answered, from which the next may tell only the change. */
-    let known: { version: number; map: ExpertMap } | undefined;
+    let known: KnownMap | undefined;
 
     return new (class ControlRankLink extends AgentRankLink {
         override async readReport(): Promise<RankReport> {
@@ -98,7 +99,7 @@
         override async sendOrder(order: RankOrder, condition: OrderCondition): Promise<OrderResult> {
             try {
                 return order.kind === RankOrderKind.Prepare
-                    ? await sendMap({ ...order, map: orderExperts(order.map) }, condition)
+                    ? await sendMap(order, condition)
                     : await callOrder(order, condition);
             } catch (error) {
                 const detail = error instanceof Error ? error.message : String(error);
@@ -121,11 +122,13 @@
 
     /** Sends only what changes if the agent has the earlier map. */
     async function sendMap(order: PrepareOrder, condition: OrderCondition): Promise<OrderResult> {
-        const { kind, version, map } = order;
-        const change = known && encodeChange(known, map);
+        const { kind, version } = order;
+        const { encoder } = options;
+        const map = encoder.orderExperts(order.map);
+        const change = encoder.encodeFrom(known, map);
         let result = change && (await callOrder({ kind, version, change }, condition));
         if (result === undefined || result.isMapMissing === true) {
-            result = await callOrder({ kind, version, map: encodeMap(map) }, condition);
+            result = await callOrder({ kind, version, map: encoder.encodeWhole(map) }, condition);
         }
         known = { version, map };
         return result;
@@ -155,8 +158,3 @@
 }
 
 type PrepareOrder = Extract<RankOrder, { kind: RankOrderKind.Prepare }>;
-
-/** A map has the same bytes at all ranks, however an agent came to it. */
-function orderExperts(map: ExpertMap): ExpertMap {
-    return map.map(ofSet => ofSet.map(experts => [...experts].sort((left, right) => left - right)));
-}
--- a/src/groups/ordered/MapChange.ts
+++ b/src/groups/ordered/MapChange.ts
@@ -65,8 +65,9 @@
      * Brings a new map into force at all ranks, or leaves the old one.
      * @param map - New map.
      * @param version - Version higher than all that the ranks have had.
+     * @param reports - What the ranks said in the last look, all in one open group.
      */
-    changeMap(map: ExpertMap, version: number): Promise<ChangeResult>;
+    changeMap(map: ExpertMap, version: number, reports: readonly RankReport[]): Promise<ChangeResult>;
     /**
      * Ends what an earlier change left behind: nothing stays armed or held.
      * @param map - Map in use, which is prepared again so that no late order can arm another one.
@@ -75,8 +76,8 @@
     settleGroup(map: ExpertMap, version: number): Promise<SettleResult>;
 }
 
-/** Ranks that are sent a map at the same time: with larger groups the link of the coordinator's host would fill. */
-const MAX_PREPARING = 16;
+/** Ranks that are sent a map at the same time: if all were, the link of a large group's coordinator would fill. */
+const MAX_PREPARING = 36;
 /** Most times that the lead is doubled because the pass to be held had begun. */
 const MAX_DOUBLED_LEADS = 1;
 
@@ -111,11 +112,7 @@
         return isWhole ? known : undefined;
     }
 
-    async function changeMap(map: ExpertMap, version: number): Promise<ChangeResult> {
-        const reports = await readReports();
-        if (reports === undefined) {
-            return { end: ChangeEnd.Abandoned, detail: "not all ranks answer in one open group" };
-        }
+    async function changeMap(map: ExpertMap, version: number, reports: readonly RankReport[]): Promise<ChangeResult> {
         if (reports.some(isBound)) {
             return { end: ChangeEnd.Unsettled, detail: "an earlier change left something armed or held" };
         }
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -210,7 +210,7 @@
         const next = plans.map(plan => plan.experts);
         const version = getNextVersion(reports);
         const planMs = Math.round(readMonotonicMs() - now);
-        const result = await changer.changeMap(next, version);
+        const result = await changer.changeMap(next, version, reports);
         options.metrics.recordChange(result.end);
         logger.logEvent(result.end === ChangeEnd.Changed ? EventId.GroupMapChanged : EventId.GroupChangeAbandoned, {
             group: options.group,
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -6,6 +6,7 @@
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../../utils/time.js";
 import { type AgentRankLink, createAgentRankLink } from "./AgentRankLink.js";
 import { type MapCoordinator, createMapCoordinator } from "./MapCoordinator.js";
+import { createMapEncoder } from "./MapEncoder.js";
 import { type MapOffice, createMapOffice } from "./MapOffice.js";
 import type { RankLink } from "./RankLink.js";
 import { type RankMetrics, createRankMetrics } from "./RankMetrics.js";
@@ -154,12 +155,14 @@
             logger.logEvent(EventId.GroupIncomplete, { group, known: hosts.size, size });
             return undefined;
         }
+        const encoder = createMapEncoder();
         links = Array.from({ length: size }, (unused, rank) =>
             createAgentRankLink({
                 address: `${hosts.get(rank) ?? ""}:${settings.controlPort}`,
                 processKey: settings.processKey,
                 getTerm: () => office.getTerm() ?? 0,
                 onSuperseded: office.leaveOffice,
+                encoder,
                 timeoutMs: CALL_TIMEOUT_MS,
             }),
         );
--- a/tests/groups/ordered/changeBytesTests.ts
+++ b/tests/groups/ordered/changeBytesTests.ts
@@ -3,6 +3,7 @@
 import { createRandom } from "../../../bench/scheduling/Random.js";
 import { openControlPort } from "../../../src/control/index.js";
 import { createAgentRankLink } from "../../../src/groups/ordered/AgentRankLink.js";
+import { createMapEncoder } from "../../../src/groups/ordered/MapEncoder.js";
 import {
     type ExpertMap,
     OrderAnswer,
@@ -85,6 +86,7 @@
         processKey: KEY,
         getTerm: () => 1,
         onSuperseded: () => undefined,
+        encoder: createMapEncoder(),
         timeoutMs: 2_000,
     });
     t.teardown(async () => {
