--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -12,7 +12,7 @@
     Restored = "restored",
 }
 
-/** Who told of a change, when it isn't the platform. */
+/** Source of what the platform itself told. */
 const PLATFORM = "platform";
 
 /** Endpoints that are known, by service. */
@@ -55,29 +55,26 @@
     const entries = new Map<string, Entry>();
     /** Serving endpoints by service; undefined while a change is not in it yet. */
     let serving: Map<string, EndpointRecord[]> | undefined;
-    let source = PLATFORM;
     /** Most entries that may have lapsed; those that came back are counted until the next look at all. */
     let lapsed = 0;
     return {
         applyListing,
-        applyRecord,
-        removeRecord,
+        applyRecord: record => applyRecord(record),
+        removeRecord: id => removeRecord(id),
         listServing,
         listRecords: () => [...entries.values()].filter(entry => !entry.hasLapsed).map(entry => entry.record),
         countRecords: () => entries.size,
     };
 
-    function applyListing(records: readonly EndpointRecord[], listedBy = PLATFORM): void {
-        source = listedBy;
+    function applyListing(records: readonly EndpointRecord[], source = PLATFORM): void {
         const listed = new Set(records.map(record => record.id));
         for (const id of [...entries.keys()].filter(id => !listed.has(id))) {
-            removeRecord(id);
+            removeRecord(id, source);
         }
-        records.forEach(applyRecord);
-        source = PLATFORM;
+        records.forEach(record => applyRecord(record, source));
     }
 
-    function applyRecord(record: EndpointRecord): void {
+    function applyRecord(record: EndpointRecord, source = PLATFORM): void {
         const known = entries.get(record.id);
         entries.set(record.id, { record, hasLapsed: false });
         serving = undefined;
@@ -93,7 +90,7 @@
         }
     }
 
-    function removeRecord(id: string): void {
+    function removeRecord(id: string, source = PLATFORM): void {
         const known = entries.get(id);
         if (known === undefined || known.hasLapsed) {
             return;
@@ -122,7 +119,7 @@
             if (entry.hasLapsed) {
                 entries.delete(id);
                 serving = undefined;
-                options.onChange(DirectoryChange.Removed, entry.record, source);
+                options.onChange(DirectoryChange.Removed, entry.record, PLATFORM);
             }
         }
     }
