--- a/src/groups/ordered/AgentRankLink.ts
+++ b/src/groups/ordered/AgentRankLink.ts
@@ -13,7 +13,8 @@
     type RankReport,
 } from "./RankReport.js";
 import type { PlanLimits, SetPlan } from "./planMap.js";
-import type { KnownMap, MapEncoder } from "./MapEncoder.js";
+import type { MapEncoder } from "./MapEncoder.js";
+import type { KnownMap } from "./PackedMap.js";
 import type { RankControl, RankLook, WireOrder, WireOrderResult } from "./rankControl.js";
 
 /** Link to a rank through the agent beside it. */
--- a/src/groups/ordered/MapEncoder.ts
+++ b/src/groups/ordered/MapEncoder.ts
@@ -1,12 +1,6 @@
-import { type PackedChange, type PackedMap, encodeChange, encodeMap } from "./PackedMap.js";
+import { type KnownMap, type PackedChange, type PackedMap, encodeChange, encodeMap } from "./PackedMap.js";
 import type { ExpertMap } from "./RankReport.js";
 
-/** A map and its version, as an agent has it. */
-export interface KnownMap {
-    version: number;
-    map: ExpertMap;
-}
-
 /** Encodes the map of one group for all its agents; each form is made once, however many agents get it. */
 export interface MapEncoder {
     /** Puts the experts of each rank in ascending order, so that a map has the same bytes however an agent came to it. */
--- a/src/groups/ordered/PackedMap.ts
+++ b/src/groups/ordered/PackedMap.ts
@@ -1,6 +1,15 @@
 import type { ExpertMap } from "./RankReport.js";
 
-/** A map in a compact form for the way to the agents: with 72 ranks, less than half of its JSON. */
+/** A map and its version, as an agent has it. */
+export interface KnownMap {
+    version: number;
+    map: ExpertMap;
+}
+
+/**
+ * A map in a compact form for the way to the agents: with 72 ranks, less than half of its JSON. Its numbers are
+ * for each set and rank the count of its experts and the experts.
+ */
 export interface PackedMap extends PackedNumbers {
     layerSets: number;
     ranks: number;
@@ -15,10 +24,11 @@
     base: number;
 }
 
-/** Numbers in base64; a map's are for each set and rank the count of its experts and the experts. */
+/** Small numbers in few bytes. */
 export interface PackedNumbers {
     /** Bytes of a number, 1 or 2. */
     width: number;
+    /** In base64. */
     numbers: string;
 }
 
@@ -63,7 +73,7 @@
  * @param map - Later map, whose experts are in ascending order, as the earlier one's are.
  * @returns Undefined if the maps differ in size.
  */
-export function encodeChange(base: { version: number; map: ExpertMap }, map: ExpertMap): PackedChange | undefined {
+export function encodeChange(base: KnownMap, map: ExpertMap): PackedChange | undefined {
     const earlier = base.map.flat();
     const later = map.flat();
     if (base.map.length !== map.length || earlier.length !== later.length) {
--- a/src/groups/ordered/rankControl.ts
+++ b/src/groups/ordered/rankControl.ts
@@ -3,7 +3,6 @@
 import { type CountsDelta, createCountsEncoder } from "./CountsDelta.js";
 import type { RankLink } from "./RankLink.js";
 import {
-    type ExpertMap,
     OrderAnswer,
     type OrderResult,
     type RankExperts,
@@ -12,7 +11,7 @@
     type RankReport,
 } from "./RankReport.js";
 import { type SetPlan, planSet } from "./planMap.js";
-import { type PackedChange, type PackedMap, applyChange, decodeMap } from "./PackedMap.js";
+import { type KnownMap, type PackedChange, type PackedMap, applyChange, decodeMap } from "./PackedMap.js";
 
 /** Receivers of the control calls of a rank's agent. */
 export interface RankControlOptions {
@@ -92,7 +91,7 @@
     const { link, acceptTerm } = options;
     const encoder = createCountsEncoder();
     /** Map of the last order to prepare one, from which the next may tell only the change. */
-    let last: { version: number; map: ExpertMap } | undefined;
+    let last: KnownMap | undefined;
     return buildRouter({
         look: processProcedure
             .input(termSchema.extend({ hasCounts: z.boolean() }))
