Check that a stream holds all tokens before its end marker is passed on

Cause: the check of a stream refused more events than tokens, but not fewer, as an event may hold several tokens. An engine that sent the first events of a stream to another caller and the rest to the right one passed it: callers got 15 events of 20 tokens as a complete answer. The check also ran after the end marker had been passed on, and a stream with repeated events was continued at another replica, with the repeated text as its start.

Change: engines are asked for the ids of the tokens of each event (return_token_ids, as for the usage event, and removed again unless the caller asked for them). The end marker is passed on only if the ids are as many as the tokens of the usage event. An answer that fails this is ended with an error; no replica continues it. For engines that send no ids nothing in the stream tells a missing event, so only the earlier check applies; the check's comment says so. Callers that ask for the usage event get it now; the agent removed it for all.

--- a/src/agent/AgentServer.ts
+++ b/src/agent/AgentServer.ts
@@ -1,7 +1,15 @@
 import http from "node:http";
 import { ROOT_CONTEXT, SpanKind, trace } from "@opentelemetry/api";
 import { WORK_RANKS, type WorkRank } from "../config/index.js";
-import { Cause, HopHeader, Outcome, copyEndToEndHeaders, getHeader, sendRefusal } from "../protocol/index.js";
+import {
+    Cause,
+    EventField,
+    HopHeader,
+    Outcome,
+    copyEndToEndHeaders,
+    getHeader,
+    sendRefusal,
+} from "../protocol/index.js";
 import { type Tracing, endSpan } from "../telemetry/index.js";
 import { isEqualInConstantTime } from "../utils/digest.js";
 import { readWholeBody, sendJson } from "../utils/http.js";
@@ -223,11 +231,16 @@
             path,
             headers: { ...copyEndToEndHeaders(request.headers, ["content-length"]), "x-team": team },
             body,
-            isUsageWanted: false,
+            wantedFields: readEventFields(request),
         },
     };
 }
 
+function readEventFields(request: http.IncomingMessage): Set<EventField> {
+    const names = (getHeader(request.headers, HopHeader.EventFields) ?? "").split(",");
+    return new Set(Object.values(EventField).filter(field => names.includes(field)));
+}
+
 function encodeLoad(core: AgentCore): string {
     const load = core.getLoad();
     const ahead = WORK_RANKS.map(rank => load.ahead[rank]).join(",");
--- a/src/agent/AnswerCheck.ts
+++ b/src/agent/AnswerCheck.ts
@@ -1,9 +1,17 @@
+import { EventField } from "../protocol/index.js";
+
+/** Reason to end an answer as broken. */
+export interface AnswerFault {
+    detail: string;
+    /** What was passed on before lacks or repeats tokens, so that no other endpoint can continue it. */
+    isInconsistent: boolean;
+}
+
 /** Verdict of a check on a part of an answer. */
 export interface CheckedPart {
     /** Part that may be passed on. */
     passed: Buffer;
-    /** Reason to end the answer as broken. */
-    fault: string | undefined;
+    fault: AnswerFault | undefined;
 }
 
 /** Checks that an answer is whole, and belongs to one request only. */
@@ -18,7 +26,7 @@
      * Checks the end of the answer.
      * @returns Reason why the answer is not whole, or undefined.
      */
-    abstract checkEnd(): string | undefined;
+    abstract checkEnd(): AnswerFault | undefined;
 }
 
 /**
@@ -30,7 +38,7 @@
             return { passed: chunk, fault: undefined };
         }
 
-        override checkEnd(): string | undefined {
+        override checkEnd(): undefined {
             return undefined;
         }
     })();
@@ -38,21 +46,27 @@
 
 /** Options of the check of an event stream. */
 export interface EventStreamCheckOptions {
-    /** Passes the usage event on to the caller. */
-    isUsageWanted: boolean;
+    /** Fields that are passed on to the caller. */
+    wantedFields: ReadonlySet<EventField>;
 }
 
 const EVENT_END = Buffer.from("\n\n");
 const DONE = Buffer.from("data: [DONE]");
 const USAGE_MARK = Buffer.from('"choices":[]');
+/** Quotes inside of JSON strings are escaped, so these bytes occur as the start of a field only. */
+const TOKEN_IDS_MARK = Buffer.from('"token_ids":[');
+const PROMPT_IDS_MARK = Buffer.from('"prompt_token_ids":[');
 const ID_PATTERN = /^data: \{"id":"[^"]*"/;
 const ID_SCAN_BYTES = 256;
 const COLON = 58;
+const COMMA = 44;
+const CLOSING_BRACKET = 93;
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 /**
- * Creates the check of an event stream: one identifier in all events, an end marker,
- * and no more events than the engine says it generated tokens.
+ * Creates the check of an event stream: one identifier in all events, an end marker, and as many token ids as the engine
+ * says it generated tokens. Streams of engines that send no token ids may at least not have more events than tokens;
+ * that one of their events is missing can't be told, since an event may hold several tokens.
  * @param options - Wishes of the caller.
  */
 export function createEventStreamCheck(options: EventStreamCheckOptions): AnswerCheck {
@@ -60,6 +74,7 @@
     let prefix: Buffer | undefined;
     let isDone = false;
     let events = 0;
+    let tokenIds = 0;
     let tokens: number | undefined;
 
     return new (class EventStreamCheck extends AnswerCheck {
@@ -67,66 +82,65 @@
             const bytes = carry === undefined ? chunk : Buffer.concat([carry, chunk]);
             const parts: Buffer[] = [];
             let start = 0;
-            let passedFrom = 0;
             for (;;) {
                 const end = bytes.indexOf(EVENT_END, start);
                 if (end === -1) {
                     break;
                 }
-                const next = end + EVENT_END.length;
                 const fault = checkEvent(bytes, start, end);
                 if (fault !== undefined) {
-                    parts.push(bytes.subarray(passedFrom, start));
                     return { passed: Buffer.concat(parts), fault };
                 }
-                if (isHiddenUsage(bytes, start, end)) {
-                    parts.push(bytes.subarray(passedFrom, start));
-                    passedFrom = next;
+                const next = end + EVENT_END.length;
+                if (!isHiddenUsage(bytes, start, end)) {
+                    addEvent(parts, bytes.subarray(start, next));
                 }
                 start = next;
             }
             carry = start < bytes.length ? bytes.subarray(start) : undefined;
             if ((carry?.length ?? 0) > MAX_EVENT_BYTES) {
-                return { passed: Buffer.alloc(0), fault: "an event is too long" };
+                const fault = createFault("an event is too long");
+                return { passed: Buffer.alloc(0), fault };
             }
-            parts.push(bytes.subarray(passedFrom, start));
             return { passed: parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts), fault: undefined };
         }
 
-        override checkEnd(): string | undefined {
-            if (!isDone || carry !== undefined) {
-                return "the end marker is missing";
-            }
-            if (tokens !== undefined && events > tokens) {
-                return `${events} events came for ${tokens} tokens`;
-            }
-            return undefined;
+        override checkEnd(): AnswerFault | undefined {
+            return isDone && carry === undefined ? undefined : createFault("the end marker is missing");
         }
     })();
 
-    function checkEvent(bytes: Buffer, start: number, end: number): string | undefined {
+    function checkEvent(bytes: Buffer, start: number, end: number): AnswerFault | undefined {
         if (bytes[start] === COLON) {
             return undefined;
         }
         if (isDone) {
-            return "an event came after the end marker";
+            return createFault("an event came after the end marker");
         }
         if (hasBytesAt(bytes, DONE, start)) {
             isDone = true;
-            return undefined;
+            return checkTokens();
         }
         if (prefix === undefined) {
             prefix = readPrefix(bytes, start, end);
         } else if (prefix.length > 0 && !hasBytesAt(bytes, prefix, start)) {
-            return "an event of another answer came";
+            return createFault("an event of another answer came");
         }
         readUsage(bytes, start, end);
         return undefined;
     }
 
+    /** Checks the number of tokens before the end marker is passed on, as callers may take the marker for success. */
+    function checkTokens(): AnswerFault | undefined {
+        const isConsistent = tokenIds > 0 ? tokenIds === tokens : events <= (tokens ?? events);
+        const detail = `${events} events with ${tokenIds} token ids came for ${tokens} tokens`;
+        return isConsistent ? undefined : { detail, isInconsistent: true };
+    }
+
     function readUsage(bytes: Buffer, start: number, end: number): void {
         if (!isUsage(bytes, start, end)) {
             events++;
+            tokenIds += countListItems(bytes.subarray(start, end), TOKEN_IDS_MARK);
             return;
         }
         const event = JSON.parse(bytes.toString("utf8", start + "data: ".length, end)) as UsageEvent;
@@ -134,8 +148,50 @@
     }
 
     function isHiddenUsage(bytes: Buffer, start: number, end: number): boolean {
-        return !options.isUsageWanted && isUsage(bytes, start, end);
+        return !options.wantedFields.has(EventField.Usage) && isUsage(bytes, start, end);
+    }
+
+    function addEvent(parts: Buffer[], event: Buffer): void {
+        const last = parts.at(-1);
+        if (!options.wantedFields.has(EventField.TokenIds) && event.includes(TOKEN_IDS_MARK)) {
+            parts.push(removeList(removeList(event, TOKEN_IDS_MARK), PROMPT_IDS_MARK));
+        } else if (last?.buffer === event.buffer && last.byteOffset + last.length === event.byteOffset) {
+            // Adjacent events are passed on in one piece.
+            parts[parts.length - 1] = Buffer.from(event.buffer, last.byteOffset, last.length + event.length);
+        } else {
+            parts.push(event);
+        }
+    }
+}
+
+function createFault(detail: string): AnswerFault {
+    return { detail, isInconsistent: false };
+}
+
+/** Counts the numbers of a list that follows its mark in a JSON text. */
+function countListItems(event: Buffer, mark: Buffer): number {
+    const start = event.indexOf(mark) + mark.length;
+    const end = event.indexOf(CLOSING_BRACKET, start);
+    if (start < mark.length || end <= start) {
+        return 0;
+    }
+    let items = 1;
+    for (let at = start; at < end; at++) {
+        items += event[at] === COMMA ? 1 : 0;
+    }
+    return items;
+}
+
+/** Removes a field that is a list of numbers, and one of the commas around it. */
+function removeList(event: Buffer, mark: Buffer): Buffer {
+    const start = event.indexOf(mark);
+    const end = start === -1 ? -1 : event.indexOf(CLOSING_BRACKET, start);
+    if (end === -1) {
+        return event;
     }
+    const isAfterComma = event[start - 1] === COMMA;
+    const next = isAfterComma || event[end + 1] !== COMMA ? end + 1 : end + 2;
+    return Buffer.concat([event.subarray(0, isAfterComma ? start - 1 : start), event.subarray(next)]);
 }
 
 interface UsageEvent {
--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -1,7 +1,7 @@
 import http from "node:http";
-import { copyEndToEndHeaders, getHeader } from "../protocol/index.js";
+import { type EventField, copyEndToEndHeaders, getHeader } from "../protocol/index.js";
 import { sendHttpCall } from "../utils/http.js";
-import { type AnswerCheck, createEventStreamCheck, createFramedCheck } from "./AnswerCheck.js";
+import { type AnswerCheck, type AnswerFault, createEventStreamCheck, createFramedCheck } from "./AnswerCheck.js";
 import { AnswerEnd, type KeptAnswer } from "./KeptAnswer.js";
 
 /** What became of a request sent to the endpoint. */
@@ -9,6 +9,8 @@
     Whole = "whole",
     /** The endpoint had the request, and gave no whole answer. */
     Broken = "broken",
+    /** The endpoint gave an answer that lacks or repeats tokens. */
+    Inconsistent = "inconsistent",
     /** The endpoint never had the request. */
     NeverSent = "never-sent",
 }
@@ -20,7 +22,8 @@
     path: string;
     headers: Record<string, string | string[]>;
     body: Buffer;
-    isUsageWanted: boolean;
+    /** Fields of the events that are passed on. */
+    wantedFields: ReadonlySet<EventField>;
 }
 
 /** Options of a run. */
@@ -55,6 +58,7 @@
 const END_OF_RESULT: Record<RunResult, AnswerEnd> = {
     [RunResult.Whole]: AnswerEnd.Whole,
     [RunResult.Broken]: AnswerEnd.Broken,
+    [RunResult.Inconsistent]: AnswerEnd.Inconsistent,
     [RunResult.NeverSent]: AnswerEnd.NeverStarted,
 };
 
@@ -112,19 +116,20 @@
                 answer.addChunk(part.passed);
             }
             if (part.fault !== undefined) {
-                failRun(part.fault);
+                failRun(part.fault.detail, part.fault);
             }
         });
         response.on("error", error => failRun(error.message));
         response.on("close", () => {
             clearTimeout(stallTimer);
-            const fault = response.complete ? check.checkEnd() : "the connection closed in the middle";
+            const fault = response.complete ? check.checkEnd()?.detail : "the connection closed in the middle";
             resolve(fault === undefined ? { result: RunResult.Whole } : { result: RunResult.Broken, fault });
         });
 
-        function failRun(fault: string): void {
+        function failRun(fault: string, checked?: AnswerFault): void {
             clearTimeout(stallTimer);
-            resolve({ result: RunResult.Broken, fault });
+            const isInconsistent = checked?.isInconsistent === true;
+            resolve({ result: isInconsistent ? RunResult.Inconsistent : RunResult.Broken, fault });
             response.destroy();
         }
     }
@@ -132,7 +137,7 @@
     function createCheck(response: http.IncomingMessage): AnswerCheck {
         const type = getHeader(response.headers, "content-type") ?? "";
         return type.startsWith("text/event-stream")
-            ? createEventStreamCheck({ isUsageWanted: request.isUsageWanted })
+            ? createEventStreamCheck({ wantedFields: request.wantedFields })
             : createFramedCheck();
     }
 }
--- a/src/agent/KeptAnswer.ts
+++ b/src/agent/KeptAnswer.ts
@@ -7,6 +7,8 @@
     Whole = "whole",
     /** The endpoint stopped in the middle. */
     Broken = "broken",
+    /** Tokens of the answer are missing or repeated. */
+    Inconsistent = "inconsistent",
     /** The endpoint never had the request. */
     NeverStarted = "never-started",
 }
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -17,6 +17,8 @@
     Cost = "auburnpass-cost",
     Outcome = "auburnpass-outcome",
     Cause = "auburnpass-cause",
+    /** Fields of the events that the caller asked for, and that are otherwise removed; see `EventField`. */
+    EventFields = "auburnpass-event-fields",
     /** Requests that wait and run at the agent, sent with each answer. */
     Load = "auburnpass-load",
     /** Time that the attempt waited in the agent's queue, in milliseconds. */
@@ -25,6 +27,12 @@
     Length = "auburnpass-length",
 }
 
+/** Fields that the system makes engines add to the events of a stream. */
+export enum EventField {
+    Usage = "usage",
+    TokenIds = "token-ids",
+}
+
 /** Prefix of the headers that never leave the system. */
 export const HOP_PREFIX = "auburnpass-";
 
--- a/src/router/Exchange.ts
+++ b/src/router/Exchange.ts
@@ -1,7 +1,7 @@
 import type http from "node:http";
 import type { Span } from "@opentelemetry/api";
 import type { DocumentIndex, EndpointKind, TeamStructure, WorkRank } from "../config/index.js";
-import type { Cause } from "../protocol/index.js";
+import type { Cause, EventField } from "../protocol/index.js";
 
 /** Destination of a request and the properties that decide how it is run. */
 export interface CallTarget {
@@ -14,8 +14,8 @@
     isIdempotent: boolean;
     /** Whether the answer is an event stream. */
     isStream: boolean;
-    /** Whether the caller requested the usage event. */
-    isUsageRequested: boolean;
+    /** Fields of the stream's events that the caller asked for, of those that the system always asks the engine for. */
+    requestedFields: EventField[];
     rank: WorkRank;
     /** Estimated number of tokens. */
     cost: number;
--- a/src/router/attempts/Attempt.ts
+++ b/src/router/attempts/Attempt.ts
@@ -66,6 +66,7 @@
             [HopHeader.Isolated]: parts.isIsolated ? "1" : "0",
             [HopHeader.KeyDigest]: parts.keyDigest,
             [HopHeader.Incarnation]: plan.incarnation,
+            [HopHeader.EventFields]: target.requestedFields.join(","),
             [HopHeader.Cost]: String(Math.max(1, Math.round(target.cost))),
         },
         body: parts.body,
--- a/src/router/attempts/AttemptRunner.ts
+++ b/src/router/attempts/AttemptRunner.ts
@@ -21,6 +21,8 @@
     NotRun = "not-run",
     /** The endpoint received the request but did not return a complete answer. */
     Incomplete = "broken",
+    /** The endpoint returned an answer that lacks or repeats tokens, so that none of it can be built on. */
+    Inconsistent = "inconsistent",
     /** The agent is unreachable, was restarted or has no record of the attempt; the attempt may have run. */
     Unknown = "unknown",
     /** The attempt ran, but its answer is no longer stored. */
@@ -140,6 +142,9 @@
             .with(AttemptState.Forgotten, () => ({ end: AttemptEnd.Unknown }))
             .with(AttemptState.Queued, AttemptState.Running, () => attachAgain(plan, attachments))
             .with(AttemptState.Done, () => {
+                if (report.end === AnswerEnd.Inconsistent) {
+                    return { end: AttemptEnd.Inconsistent };
+                }
                 if (report.end !== AnswerEnd.Whole) {
                     return { end: AttemptEnd.Incomplete, isEndpointDead: report.isEndpointDead };
                 }
@@ -201,7 +206,7 @@
     return match(result.end)
         .with(AttemptEnd.Answered, () => Cause.None)
         .with(AttemptEnd.NotRun, () => Cause.EndpointLost)
-        .with(AttemptEnd.Incomplete, () => Cause.EndpointFailed)
+        .with(AttemptEnd.Incomplete, AttemptEnd.Inconsistent, () => Cause.EndpointFailed)
         .with(AttemptEnd.Unknown, () => Cause.EndpointLost)
         .with(AttemptEnd.AnswerGone, () => Cause.AnswerGone)
         .with(AttemptEnd.CallerDisconnected, () => Cause.CallerGone)
--- a/src/router/filters/classify.ts
+++ b/src/router/filters/classify.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { EndpointKind, WorkRank } from "../../config/index.js";
-import { Cause, Outcome, type Refusal, getHeader } from "../../protocol/index.js";
+import { Cause, EventField, Outcome, type Refusal, getHeader } from "../../protocol/index.js";
 import { computeHash32 } from "../../utils/digest.js";
 import type { CallTarget, Exchange } from "../Exchange.js";
 import type { Filter } from "../pipeline.js";
@@ -29,6 +29,7 @@
     max_tokens: z.number().int().min(1).optional(),
     priority: z.unknown().optional(),
     stream_options: z.looseObject({ include_usage: z.boolean().optional() }).optional(),
+    return_token_ids: z.unknown().optional(),
 });
 
 type ModelBody = z.infer<typeof bodySchema>;
@@ -71,7 +72,7 @@
         path,
         isIdempotent: call.idempotent,
         isStream: false,
-        isUsageRequested: false,
+        requestedFields: [],
         rank: call.rank,
         cost: 1,
         prefixHash: undefined,
@@ -122,20 +123,27 @@
         path,
         isIdempotent: true,
         isStream: body.stream === true,
-        isUsageRequested: body.stream_options?.include_usage === true,
+        requestedFields: readRequestedFields(body),
         rank: exchange.index.chooseRank({ team: exchange.team?.name ?? "", model: body.model, purpose }),
         cost: (body.max_tokens ?? DEFAULT_TOKENS) + prompt.length / CHARS_PER_COST,
         prefixHash: computeHash32(prompt.slice(0, PREFIX_CHARS)),
     };
 }
 
-/** Adds the priority, and asks for the usage event that the check of the answer needs. */
+function readRequestedFields(body: ModelBody): EventField[] {
+    const isUsageRequested = body.stream_options?.include_usage === true;
+    const areTokenIdsRequested = body.return_token_ids === true;
+    return [...(isUsageRequested ? [EventField.Usage] : []), ...(areTokenIdsRequested ? [EventField.TokenIds] : [])];
+}
+
+/** Adds the priority, and asks for the usage event and the token ids that the check of the answer needs. */
 function addEngineFields(text: string, body: ModelBody, target: CallTarget): string {
     const fields: Record<string, unknown> = { priority: ENGINE_PRIORITIES[target.rank] };
     if (target.isStream) {
         fields.stream_options = { ...body.stream_options, include_usage: true };
+        fields.return_token_ids = true;
     }
-    if (body.priority !== undefined || body.stream_options !== undefined) {
+    if (Object.keys(fields).some(field => body[field] !== undefined)) {
         return JSON.stringify({ ...body, ...fields });
     }
     const added = JSON.stringify(fields).slice(0, -1);
--- a/src/router/filters/runOnce.ts
+++ b/src/router/filters/runOnce.ts
@@ -181,7 +181,7 @@
         .with(AttemptEnd.AnswerGone, () =>
             createRefusal(STATUS_GONE, Outcome.Ran, Cause.AnswerGone, "the answer is not kept any more", undefined),
         )
-        .with(AttemptEnd.Incomplete, AttemptEnd.Unknown, AttemptEnd.NotRun, () =>
+        .with(AttemptEnd.Incomplete, AttemptEnd.Inconsistent, AttemptEnd.Unknown, AttemptEnd.NotRun, () =>
             createRefusal(
                 STATUS_UNAVAILABLE,
                 Outcome.Unknown,
--- a/src/router/filters/runRepeatable.ts
+++ b/src/router/filters/runRepeatable.ts
@@ -69,6 +69,9 @@
 
     function canTryAgain(): boolean {
         const isStarted = stream?.isStarted() === true;
+        if (isStarted && result?.end === AttemptEnd.Inconsistent) {
+            return false;
+        }
         const isInTime = isStarted || readMonotonicMs() < computeDeadline(exchange);
         return isInTime && !signal.aborted && context.retries.takeRetry();
     }
--- a/standins/engine/engineStandin.ts
+++ b/standins/engine/engineStandin.ts
@@ -250,7 +250,8 @@
                 "x-request-id": sequence.run.attempt,
             });
         }
-        const choices = [{ index: 0, delta: { content: text } }];
+        const ids = sequence.body.return_token_ids === true ? { token_ids: [sequence.next] } : {};
+        const choices = [{ index: 0, delta: { content: text }, ...ids }];
         const id = `chatcmpl-${sequence.run.attempt}`;
         const chunk = { id, object: "chat.completion.chunk", model: options.model, choices };
         const event = `data: ${JSON.stringify(chunk)}\n\n`;
--- a/standins/engine/tokens.ts
+++ b/standins/engine/tokens.ts
@@ -15,6 +15,8 @@
     max_tokens?: number;
     priority?: number;
     stream_options?: { include_usage?: boolean };
+    /** Each event lists the ids of its tokens. */
+    return_token_ids?: boolean;
     /** The last message is the start of the answer, to be continued. */
     continue_final_message?: boolean;
 }
--- a/tests/router/answersTests.ts
+++ b/tests/router/answersTests.ts
@@ -59,6 +59,56 @@
     }
 });
 
+t.test("a stream that lacks events sent to another caller is not completed, also by another replica", async t => {
+    const system = await startSmallSystem(t, { engines: 2, services: 0 });
+    const url = system.urls[0] ?? "";
+    system.engines.forEach(engine => (engine.faults.isCrossed = true));
+    for (const spacingMs of [0, 5, 20, 40, 80, 120]) {
+        const answers = await Promise.all(
+            buildList(6, async index => {
+                await waitFor(spacingMs * index);
+                const text = `apart${spacingMs}-${index}`;
+                return sendChat({ url, key: PARENT, text, tokens: 20, isStream: true }).catch(() => undefined);
+            }),
+        );
+        answers.forEach((answer, index) => {
+            const isComplete = answer?.body.toString("utf8").includes("data: [DONE]") === true;
+            const expected = computeAnswer(`user:apart${spacingMs}-${index}`, 20);
+            t.ok(!isComplete || readStreamText(answer.body) === expected, `${spacingMs} ms apart, ${index}`);
+        });
+    }
+});
+
+t.test("a stream whose events come twice is not completed by another replica", async t => {
+    const system = await startSmallSystem(t, { engines: 2, services: 0 });
+    const url = system.urls[0] ?? "";
+    system.engines.forEach(engine => (engine.faults.isDoubled = true));
+    const sending = sendChat({ url, key: PARENT, text: "twice", tokens: 20, isStream: true });
+    const answer = await sending.catch(() => undefined);
+    t.notMatch(answer?.body.toString("utf8") ?? "", /data: \[DONE\]/);
+});
+
+t.test("fields of events that the router adds for its checks reach only callers that asked for them", async t => {
+    const system = await startSmallSystem(t, { engines: 1, services: 0 });
+    const body = { model: "assist-lm", messages: [{ role: "user", content: "fields" }], max_tokens: 3, stream: true };
+    const asking = { ...body, stream_options: { include_usage: true }, return_token_ids: true };
+    const answers = await Promise.all(
+        [body, asking].map(value =>
+            sendHttpCall({
+                method: "POST",
+                url: `${system.urls[0] ?? ""}/v1/chat/completions`,
+                headers: { authorization: `Bearer ${PARENT}`, "content-type": "application/json" },
+                body: JSON.stringify(value),
+                timeoutMs: 5_000,
+            }),
+        ),
+    );
+    const texts = answers.map(answer => answer.body.toString("utf8"));
+    t.notMatch(texts[0], /token_ids|usage/);
+    t.match(texts[1], /"token_ids":\[3\][^]*"completion_tokens":3/);
+    texts.forEach(text => t.equal(readStreamText(Buffer.from(text)), computeAnswer("user:fields", 3)));
+});
+
 t.test("concurrent duplicates of a booking at two routers run once and get the same answer", async t => {
     const system = await startSmallSystem(t, { engines: 0, services: 2, routers: 2 });
     system.services.forEach(service => (service.faults.delayMs = 60));
