Renew the lease of a group's leadership while a round of its coordinator takes long

Cause: the lease (1.5 s) was renewed between two rounds only, and a round that changes or settles the map may take up to 4.5 s. The lease ended in the middle, another agent was elected and shut the first one out, which in turn was elected after the next lapse.

The new test failed before: no renewal within a round of 4.5 s.

Change: the election renews in the background. A leadership whose lease has ended is given up and not acquired again within the same round, since another coordinator may have given orders in between.

--- a/src/groups/ordered/CoordinatorElection.ts
+++ b/src/groups/ordered/CoordinatorElection.ts
@@ -1,6 +1,6 @@
 import type { KeyValueService } from "../../platform/index.js";
 import { startFreezeWatch } from "../../utils/FreezeWatch.js";
-import { readMonotonicMs } from "../../utils/time.js";
+import { readMonotonicMs, startLoop } from "../../utils/time.js";
 import { type LeaderLease, createLeaderLease } from "./LeaderLease.js";
 import type { RankReport } from "./RankReport.js";
 
@@ -14,7 +14,8 @@
     /** Returns whether this agent is the leader, or the leader's election timeout has passed so that it should stand for election. */
     isLeaderOrCandidate(): boolean;
     /**
-     * Renews the leadership or tries to acquire it.
+     * Tries to acquire the leadership unless it is held. Its lease is renewed in the background, since a round of the
+     * coordinator may take longer than the lease.
      * @param report - Latest report of this agent's rank.
      * @returns Term of the leadership; undefined if another agent holds it.
      */
@@ -24,7 +25,7 @@
     /** Returns whether the leadership is held and the process has not been suspended since it was last confirmed. */
     isLeader(): boolean;
     releaseLeadership(): void;
-    stop(): void;
+    stop(): Promise<void>;
 }
 
 /** Options of the election. */
@@ -43,6 +44,8 @@
 const ELECTION_TIMEOUT_PER_RANK_MS = 250;
 /** Process suspension after which a leader must acquire the lease again; well below the lease's time to live. */
 const MAX_FREEZE_MS = 1_000;
+/** Interval at which a leader checks whether its lease is due for renewal. */
+const RENEWAL_CHECK_MS = 150;
 
 /**
  * Creates the election as seen by one agent.
@@ -54,6 +57,9 @@
     let heardAt = readMonotonicMs();
     let highestTerm = 0;
     let rank = 0;
+    const renewal = startLoop(RENEWAL_CHECK_MS, renewLease, () => {
+        // While the store is unavailable, no other agent can acquire the lease, so the leader continues.
+    });
     return {
         acceptTerm,
         isLeaderOrCandidate,
@@ -61,7 +67,10 @@
         getTerm: () => lease?.getTerm(),
         isLeader: () => lease?.getTerm() !== undefined && !freezeWatch.hasStoodStill(),
         releaseLeadership,
-        stop: () => freezeWatch.stop(),
+        async stop() {
+            freezeWatch.stop();
+            await renewal.stop();
+        },
     };
 
     function acceptTerm(term: number): boolean {
@@ -94,19 +103,19 @@
             holder: options.holder,
             ttlMs: LEASE_MS,
         });
-        if (lease.getTerm() === undefined) {
-            // Whether or not this attempt succeeds, the next one waits for a full election timeout.
-            heardAt = readMonotonicMs();
-        }
-        try {
-            return await lease.acquireOrRenew();
-        } catch (error) {
-            // While the store is unavailable, no other agent can acquire the lease, so the leader continues.
-            if (lease.getTerm() === undefined) {
-                throw error;
-            }
+        if (lease.getTerm() !== undefined) {
             return lease.getTerm();
         }
+        // Whether or not this attempt succeeds, the next one waits for a full election timeout.
+        heardAt = readMonotonicMs();
+        return lease.acquireOrRenew();
+    }
+
+    async function renewLease(): Promise<void> {
+        const term = lease?.getTerm();
+        if (term !== undefined && (await lease?.acquireOrRenew()) === undefined) {
+            options.onLost(term);
+        }
     }
 
     function releaseLeadership(): void {
--- a/src/groups/ordered/LeaderLease.ts
+++ b/src/groups/ordered/LeaderLease.ts
@@ -4,8 +4,9 @@
 /** Leadership of a group, held through a lease in the platform's store. */
 export interface LeaderLease {
     /**
-     * Acquires the leadership, or renews its lease.
-     * @returns Term of the leadership, higher than all earlier ones; undefined if another process holds it.
+     * Acquires the leadership, or renews its lease. A leadership whose lease has ended is given up: another process may
+     * have led in between, so it is acquired anew only by a later call.
+     * @returns Term of the leadership, higher than all earlier ones; undefined if another process holds it or the lease has ended.
      */
     acquireOrRenew(): Promise<number | undefined>;
     /** Gets the current term; undefined if the leadership is not held. */
@@ -45,6 +46,7 @@
                 return term;
             }
             abandon();
+            return undefined;
         }
         return acquire();
     }
--- a/tests/groups/ordered/electionTests.ts
+++ b/tests/groups/ordered/electionTests.ts
@@ -9,6 +9,13 @@
 const FIRST_RANK_TIMEOUT_MS = 801;
 const SECOND_RANK_TIMEOUT_MS = 1_051;
 
+/** Runs pending microtasks. */
+async function flushTasks(): Promise<void> {
+    for (let turn = 0; turn < 12; turn++) {
+        await Promise.resolve();
+    }
+}
+
 function startElection(t: OwningTest, service: KeyValueService, rank: number) {
     const lost: number[] = [];
     const office = createCoordinatorElection({ service, holder: `host-${rank}`, onLost: term => lost.push(term) });
@@ -66,6 +73,28 @@
     t.ok(next !== undefined && next > (term ?? 0), "the new term is a later one");
 });
 
+t.test("a leadership outlives a round that takes longer than its lease", async t => {
+    t.clock.enter();
+    const store = createKeyValueStore();
+    const { office, lost, hold } = startElection(t, store, 0);
+    const term = await hold();
+    let renewals = 0;
+    store.renewLease = () => {
+        renewals++;
+        return Promise.resolve(true);
+    };
+    for (let passedMs = 0; passedMs < 4_500; passedMs += 50) {
+        t.clock.advance(50);
+        await flushTasks();
+    }
+    t.ok(renewals >= 4_500 / 1_500, `${renewals} renewals`);
+    t.equal(office.getTerm(), term);
+    store.renewLease = () => Promise.resolve(false);
+    t.clock.advance(1_000);
+    await flushTasks();
+    t.strictSame([office.isLeader(), lost], [false, [term]], "a lease that ended is not acquired within the round");
+});
+
 t.test("a leader continues while the store is unavailable, and no other agent acquires the leadership", async t => {
     t.clock.enter();
     const store = createKeyValueStore();
