Reach the ranks of large groups through branches of agents

Cause: a coordinator called the agent of each rank itself. With 192 ranks, a round or order is 192 calls on 0.4 of a core, and a whole map to all of them is 3.9 MB, 7.5 s on a link of 4.2 Mbit/s, where 3 s are allowed. No group of that size was ever settled, so no map was changed, and the most loaded rank kept 3.1 times the mean. Of the counts, 8 ranks were sampled in rotation, each after 8 s or more, while demand changes every 3 to 4 s.

Ruled out: the plan (20 to 45 ms a set for 192 ranks and 384 experts on this machine, 10 sets on 10 agents), and too few counts (there is no group to count for).

Change: groups of more than 24 ranks are divided into branches within zones, about as many as members in each. The coordinator calls one agent of each, which calls the others at once; equal calls of a turn become one. Counts are summed up by branch.

The protocol of a change is unchanged; its random checks (mapFaults) pass.

--- a/src/groups/ordered/CountsDelta.ts
+++ b/src/groups/ordered/CountsDelta.ts
@@ -33,13 +33,38 @@
             previous = counts;
             // A restarted rank counts from 0 in the same epoch.
             const added = counts.counts.map((count, at) => Math.max(0, count - (before[at] ?? 0)));
-            const scale = Math.max(1, added.reduce((most, count) => Math.max(most, count), 0) / MAX_UNITS);
-            const units = Uint8Array.from(added, count => Math.round(count / scale));
-            return { epoch: counts.epoch, step: counts.step, scale, units: Buffer.from(units).toString("base64") };
+            return { epoch: counts.epoch, step: counts.step, ...encodeUnits(added) };
         },
     };
 }
 
+/**
+ * Adds up the deltas of several ranks, as far as they have the epoch of the first.
+ * @param deltas - Deltas.
+ * @returns Undefined if there are none.
+ */
+export function sumDeltas(deltas: readonly CountsDelta[]): CountsDelta | undefined {
+    const [first] = deltas;
+    if (first === undefined) {
+        return undefined;
+    }
+    const sums: number[] = [];
+    let step = 0;
+    for (const delta of deltas.filter(({ epoch }) => epoch === first.epoch)) {
+        step = Math.max(step, delta.step);
+        Buffer.from(delta.units, "base64").forEach((units, at) => {
+            sums[at] = (sums[at] ?? 0) + units * delta.scale;
+        });
+    }
+    return { epoch: first.epoch, step, ...encodeUnits(sums) };
+}
+
+function encodeUnits(added: readonly number[]): Pick<CountsDelta, "scale" | "units"> {
+    const scale = Math.max(1, added.reduce((most, count) => Math.max(most, count), 0) / MAX_UNITS);
+    const units = Uint8Array.from(added, count => Math.round(count / scale));
+    return { scale, units: Buffer.from(units).toString("base64") };
+}
+
 /** Creates a decoder whose counts begin at 0. */
 export function createCountsDecoder(): CountsDecoder {
     let epoch: number | undefined;
--- a/src/groups/ordered/ExpertLoads.ts
+++ b/src/groups/ordered/ExpertLoads.ts
@@ -3,8 +3,8 @@
 
 /** Estimates the current load of each expert from the counts of the ranks. */
 export interface ExpertLoads {
-    /** Adds the choices at a rank since its previous counts to the estimate. */
-    recordCounts(rank: number, counts: RankCounts, now: number): void;
+    /** Adds the choices at a source, a rank or several, since its previous counts to the estimate. */
+    recordCounts(source: number, counts: RankCounts, now: number): void;
     /** Gets the load of each expert by set of layers. */
     getLoads(now: number): number[][];
     /** Gets the decayed number of choices behind the loads, which covers about the last time constant. */
@@ -33,9 +33,9 @@
     let decayedAt: number | undefined;
     return { recordCounts, getLoads, getWeight, restartCounts: () => previousCounts.clear() };
 
-    function recordCounts(rank: number, counts: RankCounts, now: number): void {
-        const before = previousCounts.get(rank);
-        previousCounts.set(rank, counts);
+    function recordCounts(source: number, counts: RankCounts, now: number): void {
+        const before = previousCounts.get(source);
+        previousCounts.set(source, counts);
         const hasRestarted =
             before !== undefined && counts.counts.some((count, at) => count < (before.counts[at] ?? 0));
         if (before === undefined || before.epoch !== counts.epoch || hasRestarted) {
--- a/src/groups/ordered/MapChange.ts
+++ b/src/groups/ordered/MapChange.ts
@@ -48,6 +48,8 @@
     pollMs: number;
     /** Number of passes between the newest known one and the one at which the map changes. */
     leadPasses: number;
+    /** Number of ranks that are sent a map at the same time. */
+    maxConcurrentMaps: number;
     /** Returns false once another coordinator may have taken over. */
     isLeader: () => boolean;
 }
@@ -76,8 +78,6 @@
     settleGroup(map: ExpertMap, version: number): Promise<SettleResult>;
 }
 
-/** Ranks that are sent a map concurrently; sending to all of a large group saturates the coordinator's network link. */
-const MAX_CONCURRENT_PREPARES = 36;
 /** Maximum number of times that the lead is doubled because the pass to be held has already begun. */
 const MAX_LEAD_DOUBLINGS = 1;
 
@@ -193,7 +193,7 @@
             if (isArmedWithoutHold) {
                 await holdGroup(reports, epoch, deadline);
             }
-            await runLimited(links, MAX_CONCURRENT_PREPARES, (link, rank) =>
+            await runLimited(links, options.maxConcurrentMaps, (link, rank) =>
                 disarmRank(rank, map, version, epoch, deadline),
             );
             const held = await readReports(epoch);
@@ -245,7 +245,7 @@
 
     /** Waits for all orders, even when one fails, so that none is in flight when the change ends. */
     async function sendOrderToAll(order: RankOrder, epoch: number, deadline: number): Promise<void> {
-        const limit = order.kind === RankOrderKind.Prepare ? MAX_CONCURRENT_PREPARES : links.length;
+        const limit = order.kind === RankOrderKind.Prepare ? options.maxConcurrentMaps : links.length;
         await runLimited(links, limit, (link, rank) => sendUntilApplied(rank, order, epoch, deadline));
     }
 
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "../../telemetry/logger.js";
 import { readMonotonicMs } from "../../utils/time.js";
 import type { AgentRankLink } from "./AgentRankLink.js";
+import type { GroupReader } from "./GroupReader.js";
 import { type ExpertLoads, createExpertLoads } from "./ExpertLoads.js";
 import { ChangeEnd, computeCooldownPasses, createMapChanger } from "./MapChange.js";
 import type { RankMetrics } from "./RankMetrics.js";
@@ -25,6 +26,9 @@
     layout: GroupLayout;
     /** Links by rank. */
     links: readonly AgentRankLink[];
+    reader: GroupReader;
+    /** Number of ranks that are sent a map at the same time. */
+    maxConcurrentMaps: number;
     isLeader: () => boolean;
     metrics: Pick<RankMetrics, "recordChange">;
     logger: Logger;
@@ -60,13 +64,10 @@
 const VERSION_PERIOD_MS = 100;
 const VERSION_START = 17_000_000_000;
 
-/** Counts read in one round, about 44 KB; in groups with many experts, ranks are sampled in rotation. */
-const COUNTS_PER_ROUND = 32_768;
-
-/** Reports of all ranks of a group in the same epoch, with the counts of the sampled ranks. */
+/** Reports of all ranks of a group in the same epoch, with the counts that were read. */
 interface GroupSnapshot {
     reports: RankReport[];
-    counts: { rank: number; counts: RankCounts }[];
+    counts: { source: number; counts: RankCounts }[];
 }
 
 /**
@@ -82,13 +83,13 @@
         switchMs: SWITCH_TIMEOUT_MS,
         pollMs: POLL_INTERVAL_MS,
         leadPasses: LEAD_PASSES,
+        maxConcurrentMaps: options.maxConcurrentMaps,
         isLeader: options.isLeader,
     });
     let epoch: number | undefined;
     let map: ExpertMap | undefined;
     let mapVersion = 0;
     let lastVersion = 0;
-    let rounds = 0;
     /** A new coordinator fences earlier coordinators before it changes the map. */
     let isSettled = false;
     /** When the last attempt to change the map ended. */
@@ -128,40 +129,15 @@
     }
 
     async function readGroup(): Promise<GroupSnapshot | undefined> {
-        const sampled = chooseSampledRanks();
-        const looks = await Promise.all(links.map((link, rank) => readRank(link, sampled.has(rank))));
-        const reports = looks.flatMap(look => (look === undefined ? [] : [look.report]));
+        const { reports: read, counts } = await options.reader.readGroup();
+        const reports = read.filter(report => report !== undefined);
         const first = reports[0]?.epoch;
         const isWhole =
             reports.length === links.length &&
             reports.every((report, rank) => report.isOpen && report.epoch === first && report.rank === rank);
-        const counts = looks.flatMap((look, rank) =>
-            look?.counts === undefined ? [] : [{ rank, counts: look.counts }],
-        );
         return isWhole ? { reports, counts } : undefined;
     }
 
-    async function readRank(
-        link: AgentRankLink,
-        hasCounts: boolean,
-    ): Promise<{ report: RankReport; counts: RankCounts | undefined } | undefined> {
-        try {
-            return hasCounts
-                ? await link.readReportAndCounts()
-                : { report: await link.readReport(), counts: undefined };
-        } catch {
-            // The group counts as incomplete in this round; a persistent failure shows in the group's state.
-            return undefined;
-        }
-    }
-
-    function chooseSampledRanks(): Set<number> {
-        const perRound = Math.max(1, Math.floor(COUNTS_PER_ROUND / (layout.layerSets * layout.experts)));
-        const count = Math.min(links.length, perRound);
-        const first = rounds++ * count;
-        return new Set(Array.from({ length: count }, (unused, offset) => (first + offset) % links.length));
-    }
-
     async function readMap(look: GroupSnapshot, version: number): Promise<void> {
         if (look.reports.some(report => report.mapVersion !== version)) {
             // A switch is in progress; the next round sees a single version.
@@ -182,7 +158,7 @@
 
     function recordLoads(look: GroupSnapshot): void {
         const now = readMonotonicMs();
-        look.counts.forEach(({ rank, counts }) => loads.recordCounts(rank, counts, now));
+        look.counts.forEach(({ source, counts }) => loads.recordCounts(source, counts, now));
     }
 
     async function changeIfBetter(reports: readonly RankReport[], current: ExpertMap): Promise<void> {
--- a/src/groups/ordered/listMembers.ts
+++ b/src/groups/ordered/listMembers.ts
@@ -1,11 +1,12 @@
 import type { DirectCodec } from "../../direct/index.js";
 import type { KeyValueService } from "../../platform/index.js";
+import type { RankHost } from "./groupIntoBranches.js";
 import type { GroupLayout } from "./MapCoordinator.js";
 
 /** Hosts of a group's ranks, and the layout of its experts. */
 export interface GroupMembers {
-    /** IP addresses by rank. */
-    hosts: Map<number, string>;
+    /** Hosts by rank. */
+    hosts: Map<number, RankHost>;
     /** Undefined if the document does not contain the service or its engine's experts. */
     layout: GroupLayout | undefined;
 }
@@ -28,12 +29,13 @@
         service.listSnapshot(codec.endpointPrefix, { isStaleAllowed: true }),
         readLayout(service, codec, serviceName),
     ]);
-    const hosts = new Map<number, string>();
+    const hosts = new Map<number, RankHost>();
     for (const entry of endpoints.entries) {
         const decoded = codec.decodeEndpoint(entry);
         const member = "value" in decoded ? decoded.value : undefined;
         if (member?.group?.name === group) {
-            hosts.set(member.group.rank, member.host);
+            const { rank } = member.group;
+            hosts.set(rank, { rank, host: member.host, zone: member.zone });
         }
     }
     return { hosts, layout };
--- a/src/groups/ordered/rankControl.ts
+++ b/src/groups/ordered/rankControl.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { buildRouter, processProcedure } from "../../control/index.js";
+import { type BranchCall, BranchCallKind, type BranchRelay, type BranchResult } from "./BranchRelay.js";
 import { type CountsDelta, createCountsEncoder } from "./CountsDelta.js";
 import type { RankLink } from "./RankLink.js";
 import {
@@ -21,6 +22,7 @@
      * @returns False if a call with a higher term was received before.
      */
     acceptTerm: (term: number) => boolean;
+    relay: BranchRelay;
 }
 
 /** An order as sent to an agent, with a packed map. */
@@ -81,6 +83,17 @@
         leastGainPerCopy: z.number(),
     }),
 });
+/** Orders to a branch are checked by its members. */
+const branchCallSchema = z.union([
+    z.object({ kind: z.literal(BranchCallKind.Look), hasCounts: z.boolean() }),
+    z.object({ kind: z.literal(BranchCallKind.ReadExperts) }),
+    z.object({
+        kind: z.literal(BranchCallKind.Order),
+        order: z.looseObject({ kind: z.enum(RankOrderKind) }),
+        epoch: z.number().int(),
+    }),
+]);
+const MAX_BRANCH_MEMBERS = 256;
 const termSchema = z.object({ term: z.number().int() });
 
 /**
@@ -99,10 +112,21 @@
                 if (!acceptTerm(input.term)) {
                     return { isAccepted: false, report: undefined, counts: undefined };
                 }
-                // The counts are read at each call, so that a sampled delta covers only the time since the previous call.
-                const [report, counts] = await Promise.all([link.readReport(), link.readCounts()]);
-                const delta = encoder.encodeCounts(counts);
-                return { isAccepted: true, report, counts: input.hasCounts ? delta : undefined };
+                const [report, counts] = await Promise.all([
+                    link.readReport(),
+                    input.hasCounts ? link.readCounts() : undefined,
+                ]);
+                return { isAccepted: true, report, counts: counts && encoder.encodeCounts(counts) };
+            }),
+        relayCall: processProcedure
+            .input(
+                termSchema.extend({
+                    members: z.array(z.string()).max(MAX_BRANCH_MEMBERS),
+                    call: branchCallSchema,
+                }),
+            )
+            .mutation(({ input }): Promise<BranchResult> => {
+                return options.relay.relayCall(input.term, input.members, input.call as BranchCall);
             }),
         planSet: processProcedure
             .input(planSchema)
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -4,14 +4,14 @@
 import { EventId, type Logger, startMetricsServer } from "../../telemetry/index.js";
 import type { RunningProgram } from "../../utils/runUntilSignal.js";
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../../utils/time.js";
-import { type AgentRankLink, createAgentRankLink } from "./AgentRankLink.js";
+import { createBranchRelay } from "./BranchRelay.js";
 import { type MapCoordinator, createMapCoordinator } from "./MapCoordinator.js";
-import { createMapEncoder } from "./MapEncoder.js";
 import { type CoordinatorElection, createCoordinatorElection } from "./CoordinatorElection.js";
 import type { RankLink } from "./RankLink.js";
 import { type RankMetrics, createRankMetrics } from "./RankMetrics.js";
 import type { RankReport } from "./RankReport.js";
 import { listMembers } from "./listMembers.js";
+import { type GroupLinks, openGroupLinks } from "./openGroupLinks.js";
 import { buildRankControl } from "./rankControl.js";
 
 /** Settings of the agent of a rank. */
@@ -36,9 +36,8 @@
 
 /** Interval between rounds of the coordinator, short enough for several rounds within a typical response. */
 const ROUND_INTERVAL_MS = 150;
-/** Additional pause per rank, which limits the CPU use of a large group's coordinator. */
-const ROUND_PER_RANK_MS = 1;
-const CALL_TIMEOUT_MS = 250;
+/** Additional pause for each agent called, which limits the CPU use of a large group's coordinator. */
+const ROUND_PER_AGENT_MS = 1;
 /** Time after which the members of an incomplete group are listed again. */
 const INCOMPLETE_TIMEOUT_MS = 1_000;
 /** Minimum time between two listings of the group's members while some are unknown. */
@@ -67,7 +66,8 @@
         },
     });
     const coordination = createCoordination(settings, { ...platform, service }, election, metrics, logger);
-    const router = buildRankControl({ link: platform.link, acceptTerm: election.acceptTerm });
+    const relay = createBranchRelay(processKey);
+    const router = buildRankControl({ link: platform.link, acceptTerm: election.acceptTerm, relay });
     const [control, monitoring] = await Promise.all([
         openControlPort({ address, port: controlPort, router, processKey }),
         startMetricsServer(metrics.set, { isReady: () => true }, metricsPort, address),
@@ -79,9 +79,10 @@
     return {
         async stop() {
             logger.logEvent(EventId.ProcessDraining);
-            election.stop();
+            await election.stop();
             await loop.stop();
             coordination.close();
+            relay.close();
             control.close();
             monitoring.close();
             logger.logEvent(EventId.ProcessStopped);
@@ -124,7 +125,7 @@
     logger: Logger,
 ): Coordination {
     let coordinator: MapCoordinator | undefined;
-    let links: AgentRankLink[] = [];
+    let links: GroupLinks | undefined;
     let lastListedAt = Number.NEGATIVE_INFINITY;
     let lastCompleteAt = Number.NEGATIVE_INFINITY;
     return { coordinate, resetCoordinator, close: closeLinks };
@@ -144,7 +145,7 @@
             // A group that was formed again may have other members, or the same ones at other ranks.
             resetCoordinator();
         }
-        await waitFor(ROUND_PER_RANK_MS * links.length);
+        await waitFor(ROUND_PER_AGENT_MS * (links?.calledAgents ?? 0));
     }
 
     async function buildCoordinator(report: RankReport): Promise<MapCoordinator | undefined> {
@@ -155,19 +156,15 @@
             logger.logEvent(EventId.GroupIncomplete, { group, known: hosts.size, size });
             return undefined;
         }
-        const encoder = createMapEncoder();
-        links = Array.from({ length: size }, (unused, rank) =>
-            createAgentRankLink({
-                address: `${hosts.get(rank) ?? ""}:${settings.controlPort}`,
-                processKey: settings.processKey,
-                getTerm: () => election.getTerm() ?? 0,
-                onSuperseded: election.releaseLeadership,
-                encoder,
-                timeoutMs: CALL_TIMEOUT_MS,
-            }),
-        );
+        links = openGroupLinks({
+            hosts: [...hosts.values()].sort((left, right) => left.rank - right.rank),
+            controlPort: settings.controlPort,
+            processKey: settings.processKey,
+            getTerm: () => election.getTerm() ?? 0,
+            onSuperseded: election.releaseLeadership,
+        });
         const { isLeader } = election;
-        return createMapCoordinator({ group, layout, links, isLeader, metrics, logger });
+        return createMapCoordinator({ group, layout, ...links, isLeader, metrics, logger });
     }
 
     function resetCoordinator(): void {
@@ -175,7 +172,7 @@
     }
 
     function closeLinks(): void {
-        links.forEach(member => member.close());
-        links = [];
+        links?.close();
+        links = undefined;
     }
 }
--- a/tests/groups/ordered/changeBytesTests.ts
+++ b/tests/groups/ordered/changeBytesTests.ts
@@ -2,7 +2,9 @@
 import t from "tap";
 import { createRandom } from "../../../bench/scheduling/Random.js";
 import { openControlPort } from "../../../src/control/index.js";
+import { createDirectCalls } from "../../../src/groups/ordered/AgentCalls.js";
 import { createAgentRankLink } from "../../../src/groups/ordered/AgentRankLink.js";
+import { createBranchRelay } from "../../../src/groups/ordered/BranchRelay.js";
 import { createMapEncoder } from "../../../src/groups/ordered/MapEncoder.js";
 import {
     type ExpertMap,
@@ -68,7 +70,7 @@
     const { link: rank, orders } = createRecordingRank();
     const [port = 0, countedPort = 0] = await findFreePorts(2);
     const startAgent = () => {
-        const router = buildRankControl({ link: rank, acceptTerm: () => true });
+        const router = buildRankControl({ link: rank, acceptTerm: () => true, relay: createBranchRelay(KEY) });
         return openControlPort({ address: ADDRESS, port, router, processKey: KEY });
     };
     let agent = await startAgent();
@@ -81,13 +83,12 @@
         far.on("error", () => near.destroy());
     });
     await new Promise<void>(resolve => counter.listen(countedPort, ADDRESS, resolve));
+    const address = `${ADDRESS}:${countedPort}`;
     const link = createAgentRankLink({
-        address: `${ADDRESS}:${countedPort}`,
-        processKey: KEY,
-        getTerm: () => 1,
+        calls: createDirectCalls({ address, processKey: KEY, getTerm: () => 1, timeoutMs: 2_000 }),
+        address,
         onSuperseded: () => undefined,
         encoder: createMapEncoder(),
-        timeoutMs: 2_000,
     });
     t.teardown(async () => {
         link.close();
--- a/tests/groups/ordered/coordinatorTests.ts
+++ b/tests/groups/ordered/coordinatorTests.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { AgentRankLink } from "../../../src/groups/ordered/AgentRankLink.js";
+import { createDirectReader } from "../../../src/groups/ordered/GroupReader.js";
 import { planSet } from "../../../src/groups/ordered/planMap.js";
 import { createMapCoordinator } from "../../../src/groups/ordered/MapCoordinator.js";
 import {
@@ -60,6 +61,8 @@
         group: "g0",
         layout: LAYOUT,
         links,
+        reader: createDirectReader(links),
+        maxConcurrentMaps: links.length,
         isLeader: () => true,
         metrics: { recordChange: () => undefined },
         logger,
--- a/tests/groups/ordered/mapFaults.ts
+++ b/tests/groups/ordered/mapFaults.ts
@@ -10,6 +10,7 @@
     RankOrderKind,
     type RankReport,
 } from "../../../src/groups/ordered/index.js";
+import { createDirectReader } from "../../../src/groups/ordered/GroupReader.js";
 import { planSet } from "../../../src/groups/ordered/planMap.js";
 import { createMapCoordinator } from "../../../src/groups/ordered/MapCoordinator.js";
 import { createLogger } from "../../../src/telemetry/logger.js";
@@ -163,10 +164,13 @@
         isBusy: false,
         runRound: () => Promise.resolve(),
     };
+    const links = buildList(RANKS, rank => createLink(simulation, coordinator, rank));
     const core = createMapCoordinator({
         group: "g0",
         layout: LAYOUT,
-        links: buildList(RANKS, rank => createLink(simulation, coordinator, rank)),
+        links,
+        reader: createDirectReader(links),
+        maxConcurrentMaps: RANKS,
         isLeader: () => !coordinator.isDead,
         metrics: { recordChange: () => undefined },
         logger: SILENT_LOGGER,
