Let one router of each zone read the platform's store, and the others learn from it

Cause: each router watched the endpoints (about once a second) and the document by itself, so the calls grew with the fleet.

Change: in each zone the first router in a fixed order that has recent answers of the store reads it; the others confirm their list by the digest, revision and age in the gossip, and fetch it from a peer of the zone when it differs. A router whose list is older than 0.4 of the bound of a leaving endpoint reads the store itself, whoever else does. A listing under way when a watch is restarted is not applied any more.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -5,10 +5,12 @@
 import type { DirectCodec } from "./DirectCodec.js";
 import type { DirectContext } from "./DirectContext.js";
 import type { DirectSettings } from "./DirectSettings.js";
-import { PLATFORM_SILENCE_MS, type PeerFallback, startPeerFallback } from "./PeerFallback.js";
+import { type PeerFallback, startPeerFallback } from "./PeerFallback.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
+import { PLATFORM_SILENCE_MS, createEndpointKnowledge } from "./EndpointKnowledge.js";
 import { type StoreSync, startStoreSync } from "./StoreSync.js";
 import type { RouterSnapshot } from "./directControl.js";
+import { isOnStoreDuty } from "./storeDuty.js";
 
 /** A router's view of routes, endpoints and load, kept up to date from the platform and from other routers. */
 export interface ClusterView {
@@ -17,10 +19,13 @@
      * reached it confirms the version.
      */
     isDocumentStale(): boolean;
-    /** Gets the routes and endpoints known to this router, to be sent to another one. */
-    getSnapshot(): RouterSnapshot;
-    /** Time since the store last answered, in milliseconds. */
-    getPlatformAgeMs(): number;
+    /**
+     * Gets what another router needs of the routes and endpoints known to this one.
+     * @param knownVersion - Version of the other router's routes.
+     */
+    getSnapshot(knownVersion: number): RouterSnapshot;
+    /** Whether this router reads the store itself instead of learning from its peers. */
+    isReadingStore(): boolean;
     /**
      * Time for which the store has been available, in milliseconds: the longest seen by this router or a peer. A router
      * that is disconnected from the store can't distinguish this from an outage, but its peers can.
@@ -45,6 +50,11 @@
     logger: Logger;
 }
 
+/**
+ * Fraction of `leavingMs` that a router's list of endpoints may be old before the router reads the store itself. It is
+ * above the period of the watch of the routers that do, and the bound holds for a call that starts then.
+ */
+const MAX_KNOWLEDGE_AGE_FRACTION = 0.4;
 /** Maximum age of a peer's message that is used to judge the platform's state, in milliseconds. */
 const MAX_PEER_MESSAGE_AGE_MS = 1_000;
 
@@ -55,6 +65,7 @@
 export function startClusterView(options: ClusterViewOptions): ClusterView {
     const { settings, service, codec, holder, context, logger } = options;
     const { directory, load, suspects } = context;
+    const knowledge = createEndpointKnowledge();
     let isLeaving = false;
     const storeSync: StoreSync = startStoreSync({
         service,
@@ -62,6 +73,8 @@
         holder,
         directory,
         leavingMs: settings.leavingMs,
+        isOnDuty,
+        knowledge,
         logger,
     });
     const gossip: PeerGossip = startPeerGossip({
@@ -81,24 +94,26 @@
         gossip,
         holder,
         directory,
-        getPlatformAgeMs: () => storeSync.getAgeMs(),
-        getEndpointRevision: () => storeSync.getEndpointRevision(),
+        ownZone: settings.zone,
+        knowledge,
+        isReadingStore: () => storeSync.isReading(),
         logger,
     });
     return {
         isDocumentStale,
-        getSnapshot: () => ({
-            document: holder.getIndex()?.document,
+        getSnapshot: knownVersion => ({
+            document: holder.getVersion() > knownVersion ? holder.getIndex()?.document : undefined,
             endpoints: directory.listRecords(),
-            endpointRevision: fallback.getEndpointRevision(),
+            endpointRevision: knowledge.getRevision(),
+            endpointAgeMs: readKnowledgeAge(),
         }),
-        getPlatformAgeMs: () => storeSync.getAgeMs(),
+        isReadingStore: () => storeSync.isReading(),
         getStoreUptimeMs: () =>
             Math.max(
-                storeSync.getUptimeMs(),
+                knowledge.getUptimeMs(),
                 ...gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS).map(({ platformUpMs }) => platformUpMs),
             ),
-        getEndpointAgeMs: () => Math.min(storeSync.getAgeMs(), fallback.getAgeMs()),
+        getEndpointAgeMs: () => knowledge.getAgeMs(),
         getPeakRouterCount: () => gossip.getPeakRouterCount(),
         announceLeaving() {
             isLeaving = true;
@@ -109,6 +124,21 @@
         },
     };
 
+    function isOnDuty(): boolean {
+        return isOnStoreDuty({
+            own: settings,
+            knowledgeAgeMs: knowledge.getAgeMs(),
+            maxKnowledgeAgeMs: MAX_KNOWLEDGE_AGE_FRACTION * settings.leavingMs,
+            maxSilenceMs: PLATFORM_SILENCE_MS,
+            peers: gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS),
+        });
+    }
+
+    function readKnowledgeAge(): number {
+        const ageMs = knowledge.getAgeMs();
+        return Number.isFinite(ageMs) ? Math.round(ageMs) : -1;
+    }
+
     function buildMessage(): Omit<GossipMessage, "address" | "routers"> {
         const ageMs = storeSync.getAgeMs();
         return {
@@ -116,7 +146,10 @@
             zone: settings.zone,
             version: holder.getVersion(),
             platformAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
-            platformUpMs: Math.round(storeSync.getUptimeMs()),
+            platformUpMs: Math.round(knowledge.getUptimeMs()),
+            endpointRevision: knowledge.getRevision(),
+            endpointAgeMs: readKnowledgeAge(),
+            endpointDigest: directory.getDigest(),
             load: load.getLocalCounts(),
             suspects: suspects.listSuspects(readMonotonicMs()),
             isLeaving,
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -22,8 +22,10 @@
     countEndpoints(): number;
     /** Counts the known routers, including this one. */
     countRouters(): number;
-    /** Time since the store last answered, in milliseconds. */
+    /** Time since the store confirmed the endpoints to this router or a peer, in milliseconds. */
     getStoreAgeMs(): number;
+    /** Whether this router reads the store itself instead of learning from peers. */
+    isReadingStore(): boolean;
 }
 
 const NO_TEAM = "none";
@@ -92,7 +94,10 @@
     set.addGauge({ name: "auburnpass_known_endpoints", help: "Endpoints known" }, () => state.countEndpoints());
     set.addGauge({ name: "auburnpass_known_routers", help: "Routers known" }, () => state.countRouters());
     set.addGauge(
-        { name: "auburnpass_store_age_seconds", help: "Time since the store last answered" },
+        { name: "auburnpass_store_age_seconds", help: "Time since the store last confirmed the endpoints" },
         () => state.getStoreAgeMs() / MS_PER_SECOND,
     );
+    set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
+        state.isReadingStore() ? 1 : 0,
+    );
 }
--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -1,3 +1,4 @@
+import { computeHash32 } from "../utils/digest.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 
 /** Kind of change to a directory entry. */
@@ -29,6 +30,8 @@
     /** Lists all endpoints, leaving ones included, whose entries have not lapsed. */
     listRecords(): EndpointRecord[];
     countRecords(): number;
+    /** Gets a digest of the listed records, equal at routers that list the same ones. */
+    getDigest(): number;
 }
 
 /** Options of the directory. */
@@ -45,8 +48,13 @@
     record: EndpointRecord;
     /** The entry disappeared around an outage of the store and may be restored. */
     hasLapsed: boolean;
+    hash: number;
 }
 
+/** The digest is a sum of hashes below this number; the sum of two stays exact. */
+const HASH_RANGE = 2 ** 48;
+const LOW_HASH_RANGE = 2 ** 16;
+
 /**
  * Creates an empty directory.
  * @param options - Change listener and grace period.
@@ -57,6 +65,7 @@
     let servingByService: Map<string, EndpointRecord[]> | undefined;
     /** Upper bound on the number of lapsed entries; restored ones are still counted until the next expiry. */
     let maxLapsedCount = 0;
+    let digest = 0;
     return {
         applyListing,
         applyRecord: record => applyRecord(record),
@@ -64,6 +73,7 @@
         listServing,
         listRecords: () => [...entries.values()].filter(entry => !entry.hasLapsed).map(entry => entry.record),
         countRecords: () => entries.size,
+        getDigest: () => digest,
     };
 
     function applyListing(records: readonly EndpointRecord[], source = PLATFORM_SOURCE): void {
@@ -76,7 +86,10 @@
 
     function applyRecord(record: EndpointRecord, source = PLATFORM_SOURCE): void {
         const previous = entries.get(record.id);
-        entries.set(record.id, { record, hasLapsed: false });
+        const hash = computeRecordHash(record);
+        removeFromDigest(previous);
+        digest = (digest + hash) % HASH_RANGE;
+        entries.set(record.id, { record, hasLapsed: false, hash });
         servingByService = undefined;
         if (previous === undefined) {
             options.onChange(DirectoryChange.Added, record, source);
@@ -95,6 +108,7 @@
         if (entry === undefined || entry.hasLapsed) {
             return;
         }
+        removeFromDigest(entry);
         if (!entry.record.isLeaving && isInLapseGrace()) {
             entry.hasLapsed = true;
             maxLapsedCount++;
@@ -106,6 +120,12 @@
         options.onChange(DirectoryChange.Removed, entry.record, source);
     }
 
+    function removeFromDigest(entry: DirectoryEntry | undefined): void {
+        if (entry?.hasLapsed === false) {
+            digest = (digest - entry.hash + HASH_RANGE) % HASH_RANGE;
+        }
+    }
+
     function isInLapseGrace(): boolean {
         return options.getStoreUptimeMs() < options.lapseGraceMs;
     }
@@ -142,3 +162,10 @@
         return grouped;
     }
 }
+
+function computeRecordHash(record: EndpointRecord): number {
+    const { id, service, host, port, zone, slots, isLeaving, bornAt, group } = record;
+    const fields = [id, service, host, port, zone, slots, isLeaving, bornAt, group?.name, group?.rank, group?.size];
+    const text = JSON.stringify(fields);
+    return computeHash32(text) * LOW_HASH_RANGE + (computeHash32(`${text}#`) % LOW_HASH_RANGE);
+}
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -3,6 +3,7 @@
 import { EventId, type Logger } from "../telemetry/index.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
+import { type EndpointKnowledge, PLATFORM_SILENCE_MS } from "./EndpointKnowledge.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
 import type { DirectControl, RouterSnapshot } from "./directControl.js";
 
@@ -14,29 +15,23 @@
     /** Port of the control server, the same on every router. */
     controlPort: number;
     ownAddress: string;
+    ownZone: string;
     gossip: PeerGossip;
     holder: RouteIndexHolder;
     directory: EndpointDirectory;
-    /** Time since the platform last answered this router, in milliseconds. */
-    getPlatformAgeMs: () => number;
-    /** Revision of the platform's store up to which this router has read the endpoints from the store itself. */
-    getEndpointRevision: () => number;
+    knowledge: EndpointKnowledge;
+    /** Tells whether this router reads the store itself. */
+    isReadingStore: () => boolean;
     logger: Logger;
 }
 
-/** Fetches routes and endpoints from other routers when the platform does not answer this one. */
+/** Fetches routes and endpoints from other routers when this one does not read the store, or gets no answer of it. */
 export interface PeerFallback {
-    /** Fetches the sender's routes immediately if they have a higher version. */
+    /** Fetches the sender's routes or endpoints immediately if they are newer, and takes note if the endpoints are the same. */
     handleMessage(message: GossipMessage): void;
-    /** Gets the store revision up to which the endpoints are known, from the store or a peer. */
-    getEndpointRevision(): number;
-    /** Gets the time since endpoints were last applied from a peer, in milliseconds. */
-    getAgeMs(): number;
     stop(): Promise<void>;
 }
 
-/** Time without an answer from the platform after which endpoints are fetched from peers, in milliseconds. */
-export const PLATFORM_SILENCE_MS = 1_500;
 const CHECK_PERIOD_MS = 500;
 const CALL_TIMEOUT_MS = 700;
 /** Maximum time since a peer's last answer from the platform for its snapshot to be fetched, in milliseconds. */
@@ -47,19 +42,14 @@
  * @param options - Peers and the components that are updated.
  */
 export function startPeerFallback(options: PeerFallbackOptions): PeerFallback {
-    const { holder, directory, logger } = options;
+    const { holder, directory, knowledge, logger } = options;
     const clients = new Map<string, ControlClient<DirectControl>>();
     let isFetching = false;
-    /** Store revision of the endpoints last applied from a peer. */
-    let peerRevision = 0;
-    let appliedAt = Number.NEGATIVE_INFINITY;
     const loop: Loop = startLoop(CHECK_PERIOD_MS, fetchIfPlatformSilent, error =>
         logger.logFailure(EventId.TaskFailed, error, { task: "peer fallback" }),
     );
     return {
         handleMessage,
-        getEndpointRevision,
-        getAgeMs: () => readMonotonicMs() - appliedAt,
         async stop() {
             await loop.stop();
             clients.forEach(client => client.close());
@@ -67,17 +57,24 @@
     };
 
     function handleMessage(message: GossipMessage): void {
-        if (message.version > holder.getVersion() && !isFetching) {
+        const areEndpointsNewer = message.endpointRevision > knowledge.getRevision();
+        const areEndpointsEqual = message.endpointDigest === directory.getDigest();
+        if (message.endpointAgeMs >= 0 && areEndpointsEqual && message.endpointRevision >= knowledge.getRevision()) {
+            knowledge.recordRevision(message.endpointRevision, message.endpointAgeMs);
+        }
+        const isWanted = areEndpointsNewer && !areEndpointsEqual && canFetchEndpoints(message.zone);
+        if ((message.version > holder.getVersion() || isWanted) && !isFetching) {
             void fetchSnapshot(`${message.address}:${options.controlPort}`);
         }
     }
 
-    function getEndpointRevision(): number {
-        return Math.max(peerRevision, options.getEndpointRevision());
+    /** A router of another zone is asked only if there is no news of the own zone, which the reader there gives about as soon. */
+    function canFetchEndpoints(zone: string): boolean {
+        return !options.isReadingStore() && (zone === options.ownZone || knowledge.getAgeMs() >= PLATFORM_SILENCE_MS);
     }
 
     async function fetchIfPlatformSilent(): Promise<void> {
-        if (options.getPlatformAgeMs() < PLATFORM_SILENCE_MS) {
+        if (knowledge.getAgeMs() < PLATFORM_SILENCE_MS) {
             return;
         }
         const address = choosePeer();
@@ -110,7 +107,8 @@
         try {
             const client = getClient(address);
             const snapshot = await client.call<RouterSnapshot>(
-                (control, signal) => control.getKnowledge.query(undefined, { signal }) as Promise<RouterSnapshot>,
+                (control, signal) =>
+                    control.getKnowledge.query({ version: holder.getVersion() }, { signal }) as Promise<RouterSnapshot>,
                 CALL_TIMEOUT_MS,
             );
             applySnapshot(snapshot, address);
@@ -126,11 +124,11 @@
             holder.applyDocument(snapshot.document, address);
         }
         // An older snapshot would restore endpoints that have been removed since.
-        const isNewer = snapshot.endpointRevision > getEndpointRevision();
-        if (options.getPlatformAgeMs() >= PLATFORM_SILENCE_MS && isNewer) {
-            peerRevision = snapshot.endpointRevision;
-            appliedAt = readMonotonicMs();
+        const isNewer = snapshot.endpointRevision > knowledge.getRevision();
+        const isNeeded = !options.isReadingStore() || knowledge.getAgeMs() >= PLATFORM_SILENCE_MS;
+        if (isNewer && isNeeded && snapshot.endpointAgeMs >= 0) {
             directory.applyListing(snapshot.endpoints, address);
+            knowledge.recordRevision(snapshot.endpointRevision, snapshot.endpointAgeMs);
         }
     }
 
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -6,9 +6,10 @@
     startPrefixWatcher,
 } from "../platform/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
-import { readMonotonicMs } from "../utils/time.js";
+import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
 import type { DirectCodec } from "./DirectCodec.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
+import type { EndpointKnowledge } from "./EndpointKnowledge.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
 
@@ -20,6 +21,10 @@
     directory: EndpointDirectory;
     /** Maximum time until a leaving endpoint is recognised, in milliseconds. */
     leavingMs: number;
+    /** Tells whether this router is to read the store itself. */
+    isOnDuty: () => boolean;
+    /** Updated with each answer on endpoints, and with failures. */
+    knowledge: EndpointKnowledge;
     logger: Logger;
 }
 
@@ -27,10 +32,8 @@
 export interface StoreSync {
     /** Time since the service last answered an endpoint call, in milliseconds. */
     getAgeMs(): number;
-    /** Time since the first endpoint answer after the last failed call, in milliseconds; 0 while calls fail. */
-    getUptimeMs(): number;
-    /** Revision of the service up to which the endpoints are known; 0 before the first listing. */
-    getEndpointRevision(): number;
+    /** Whether this router reads the service itself. */
+    isReading(): boolean;
     stop(): Promise<void>;
 }
 
@@ -41,9 +44,9 @@
 const DOCUMENT_ANSWER_TIMEOUT_MS = 700;
 /**
  * Fractions of `leavingMs` for the endpoint watch: the minimum period of its calls, the wait of a call, and the time
- * allowed for the answer. Their sum leaves a tenth for a second call after one that hung on a dead connection.
+ * allowed for the answer. Their sum leaves a fifth for a second call after one that hung on a dead connection.
  */
-const ENDPOINT_PERIOD_FRACTION = 0.4;
+const ENDPOINT_PERIOD_FRACTION = 0.3;
 const ENDPOINT_WAIT_FRACTION = 0.2;
 const ENDPOINT_ANSWER_FRACTION = 0.3;
 /**
@@ -52,6 +55,8 @@
  */
 const MAX_ENDPOINT_PERIOD_MS = 900;
 const MAX_ENDPOINT_ANSWER_TIMEOUT_MS = 700;
+/** Interval at which a router checks whether it is to read the service, in milliseconds. */
+const DUTY_CHECK_MS = 50;
 /** Fraction of `leavingMs` without an answer from which the gap is logged. */
 const LATE_ANSWER_FRACTION = 0.5;
 
@@ -63,15 +68,18 @@
     const { service, codec, holder, directory, logger } = options;
     let answeredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
-    /** Time of the first endpoint answer since the last failed call. */
-    let availableSince: number | undefined;
     let isDown = false;
+    let isReading = true;
+    /** The service was not called for a time, and has not answered since. */
+    let isResuming = false;
+    const isPaused = (): boolean => !isReading;
     const documentWatcher: PrefixWatcher = startPrefixWatcher({
         service,
         prefix: codec.documentPrefix,
         waitMs: DOCUMENT_MAX_WAIT_MS,
         periodMs: DOCUMENT_PERIOD_MS,
         answerTimeoutMs: DOCUMENT_ANSWER_TIMEOUT_MS,
+        isPaused,
         listener: {
             onListing: entries => entries.forEach(applyDocument),
             onChanged: applyDocument,
@@ -86,6 +94,7 @@
         waitMs: ENDPOINT_WAIT_FRACTION * options.leavingMs,
         periodMs: Math.min(MAX_ENDPOINT_PERIOD_MS, ENDPOINT_PERIOD_FRACTION * options.leavingMs),
         answerTimeoutMs: Math.min(MAX_ENDPOINT_ANSWER_TIMEOUT_MS, ENDPOINT_ANSWER_FRACTION * options.leavingMs),
+        isPaused,
         listener: {
             onListing(entries) {
                 const records = entries.map(decodeEndpoint).filter(record => record !== undefined);
@@ -97,15 +106,33 @@
             onFailure: (error, call) => recordFailure(codec.endpointPrefix, error, call),
         },
     });
+    const dutyLoop: Loop = startLoop(
+        DUTY_CHECK_MS,
+        () => Promise.resolve(updateDuty()),
+        error => logger.logFailure(EventId.TaskFailed, error, { task: "store duty" }),
+    );
     return {
         getAgeMs: () => readMonotonicMs() - answeredAt,
-        getUptimeMs: () => (availableSince === undefined ? 0 : readMonotonicMs() - availableSince),
-        getEndpointRevision: () => endpointRevision,
+        isReading: () => isReading,
         async stop() {
-            await Promise.all([documentWatcher.stop(), endpointWatcher.stop()]);
+            await Promise.all([dutyLoop.stop(), documentWatcher.stop(), endpointWatcher.stop()]);
         },
     };
 
+    function updateDuty(): void {
+        const isOnDuty = options.isOnDuty();
+        if (isOnDuty === isReading) {
+            return;
+        }
+        isReading = isOnDuty;
+        logger.logEvent(EventId.StoreDutyChanged, { isOnDuty, ageMs: Math.round(readMonotonicMs() - answeredAt) });
+        if (!isOnDuty) {
+            isResuming = true;
+            // An answer under way may be older than what a peer tells from now on.
+            endpointWatcher.restart();
+        }
+    }
+
     function applyDocument(entry: KeyValueEntry): void {
         if (!codec.isDocumentKey(entry.key)) {
             return;
@@ -138,9 +165,12 @@
 
     function recordAnswer(revision: number): void {
         endpointRevision = revision;
-        logLateAnswer(readMonotonicMs() - answeredAt);
+        if (!isResuming) {
+            logLateAnswer(readMonotonicMs() - answeredAt);
+        }
         answeredAt = readMonotonicMs();
-        availableSince ??= answeredAt;
+        isResuming = false;
+        options.knowledge.recordRevision(revision, 0);
         if (isDown) {
             isDown = false;
             // The document watch may be waiting on a connection that was broken by the outage.
@@ -156,7 +186,8 @@
     }
 
     function recordFailure(prefix: string, error: unknown, call: WatcherCall): void {
-        availableSince = undefined;
+        options.knowledge.recordFailure();
+        isResuming = false;
         const { isListing, fromRevision } = call;
         const lastedMs = Math.round(call.lastedMs);
         logger.logFailure(EventId.PlatformCallFailed, error, { prefix, isListing, fromRevision, lastedMs });
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -72,7 +72,8 @@
         getDocumentVersion: () => holder.getVersion(),
         countEndpoints: () => context.directory.countRecords(),
         countRouters: () => knowledge.getPeakRouterCount(),
-        getStoreAgeMs: () => knowledge.getPlatformAgeMs(),
+        getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
+        isReadingStore: () => knowledge.isReadingStore(),
     });
     const service = createCountedService(platform.service, metrics.recordStoreCall);
     const callers = buildCallerServer(context, holder, metrics, () => knowledge.isDocumentStale());
@@ -81,7 +82,7 @@
         settings,
         callers,
         metrics: metrics.set,
-        control: buildDirectControl(() => knowledge.getSnapshot()),
+        control: buildDirectControl(knowledge.getSnapshot),
         isServing: () => !isDraining && holder.getIndex() !== undefined && context.directory.countRecords() > 0,
     });
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
--- /dev/null
+++ b/src/direct/storeDuty.ts
@@ -0,0 +1,48 @@
+import { computeHash32 } from "../utils/digest.js";
+
+/** A router, as far as the choice of the store's readers depends on it. */
+export interface DutyRouter {
+    address: string;
+    zone: string;
+    isLeaving: boolean;
+    /** Time since the store last answered the router itself, in milliseconds; -1 if it never did. */
+    platformAgeMs: number;
+}
+
+/** Options of the choice. */
+export interface DutyOptions {
+    own: Pick<DutyRouter, "address" | "zone">;
+    /** Age of this router's list of endpoints, in milliseconds. */
+    knowledgeAgeMs: number;
+    /** Age from which a router reads the store itself, whoever else does, in milliseconds. */
+    maxKnowledgeAgeMs: number;
+    /** Time without an answer of the store after which the next router of the zone takes over, in milliseconds. */
+    maxSilenceMs: number;
+    /** Routers that were heard from lately. */
+    peers: readonly DutyRouter[];
+}
+
+/**
+ * Tells whether a router reads the store itself instead of learning from its peers. In each zone, the first router in a
+ * fixed order that has recent answers of the store does, so that the load of the store does not grow with the number of
+ * routers. Any router whose list is too old does too: no failure of others makes it miss a change for longer.
+ * @param options - This router and its peers.
+ */
+export function isOnStoreDuty(options: DutyOptions): boolean {
+    const { own, peers, maxSilenceMs } = options;
+    if (options.knowledgeAgeMs >= options.maxKnowledgeAgeMs) {
+        return true;
+    }
+    const hasRecentAnswer = ({ platformAgeMs }: DutyRouter): boolean =>
+        platformAgeMs >= 0 && platformAgeMs < maxSilenceMs;
+    return !peers.some(
+        peer =>
+            peer.zone === own.zone && !peer.isLeaving && hasRecentAnswer(peer) && isBefore(peer.address, own.address),
+    );
+}
+
+/** Orders routers by hash, so that the duty does not always fall to the hosts that were numbered first. */
+function isBefore(left: string, right: string): boolean {
+    const [leftHash, rightHash] = [computeHash32(left), computeHash32(right)];
+    return leftHash === rightHash ? left < right : leftHash < rightHash;
+}
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -11,8 +11,14 @@
     version: z.number().int(),
     /** Time since the platform last answered this router, in milliseconds; -1 if it never did. */
     platformAgeMs: z.number(),
-    /** Time for which this router's calls to the platform have succeeded without a failure, in milliseconds. */
+    /** Time for which the sender has had news of the platform without a silence or a failed call of its own, in milliseconds. */
     platformUpMs: z.number().default(0),
+    /** Revision of the platform's store up to which the sender knows the endpoints. */
+    endpointRevision: z.number().int().default(0),
+    /** Time since the store confirmed the sender's list of endpoints, in milliseconds; -1 if it never did. */
+    endpointAgeMs: z.number().default(-1),
+    /** Digest of that list. */
+    endpointDigest: z.number().default(-1),
     /** Number of the sender's requests in progress by endpoint. */
     load: z.record(z.string(), z.number()),
     /** Digests of requests during which endpoints were lost. */
@@ -42,7 +48,10 @@
 export interface PeerGossip {
     /** Sends a message to all peers immediately instead of at the next period. */
     sendNow(): void;
-    /** Lists the last message of each router from which one was received within the given time. */
+    /**
+     * Lists the last message of each router from which one was received within the given time, with the times since an
+     * event brought up to now.
+     */
     listRecent(withinMs: number): GossipMessage[];
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
@@ -179,10 +188,19 @@
         const now = readMonotonicMs();
         return [...lastMessages.values()]
             .filter(({ receivedAt }) => now - receivedAt <= withinMs)
-            .map(({ message }) => message);
+            .map(({ message, receivedAt }) => ({
+                ...message,
+                platformAgeMs: addElapsed(message.platformAgeMs, now - receivedAt),
+                endpointAgeMs: addElapsed(message.endpointAgeMs, now - receivedAt),
+            }));
     }
 }
 
+/** Adds to an age, unless it is negative because the event never took place. */
+function addElapsed(ageMs: number, elapsedMs: number): number {
+    return ageMs < 0 ? ageMs : ageMs + elapsedMs;
+}
+
 function computePeriod(perRouterMs: number, routers: number): number {
     return Math.min(MAX_PERIOD_MS, Math.max(MIN_PERIOD_MS, perRouterMs * routers));
 }
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -1,6 +1,6 @@
 import { ErrorCode, createError, hasErrorCode } from "../errors/index.js";
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
-import type { KeyValueEntry, KeyValueService, WatchAnswer } from "./KeyValueService.js";
+import type { KeyValueEntry, KeyValueService, Listing, WatchAnswer } from "./KeyValueService.js";
 
 /** A call that a watcher has made. */
 export interface WatcherCall {
@@ -33,6 +33,8 @@
     periodMs: number;
     /** Time beyond `waitMs` after which a watch call times out and is retried, in milliseconds. */
     answerTimeoutMs: number;
+    /** Tells whether no calls are to be made for now. */
+    isPaused?: () => boolean;
     listener: PrefixListener;
 }
 
@@ -43,6 +45,8 @@
     stop(): Promise<void>;
 }
 
+/** Interval at which a paused watcher checks whether to go on, in milliseconds. */
+const PAUSE_CHECK_MS = 50;
 /** Delay after a failed call, in milliseconds; doubles up to `MAX_RETRY_MS`. */
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 400;
@@ -75,13 +79,21 @@
     };
 
     async function runCycle(stopping: AbortSignal): Promise<void> {
+        if (options.isPaused?.() === true) {
+            await waitFor(PAUSE_CHECK_MS, stopping);
+            return;
+        }
         const startedAt = readMonotonicMs();
         const fromRevision = revision ?? 0;
         currentCall = new AbortController();
         const signal = AbortSignal.any([stopping, currentCall.signal]);
         try {
             if (revision === undefined) {
-                await readListing();
+                const listing = await service.listSnapshot(prefix);
+                if (currentCall.signal.aborted) {
+                    return;
+                }
+                applyListing(listing);
             } else {
                 const answer = await watchWithTimeout(revision, signal);
                 if (currentCall.signal.aborted) {
@@ -136,8 +148,7 @@
         throw createError({ code: ErrorCode.Timeout, expected, got: "silence" });
     }
 
-    async function readListing(): Promise<void> {
-        const listing = await service.listSnapshot(prefix);
+    function applyListing(listing: Listing): void {
         revision = listing.revision;
         revisions = new Map(listing.entries.map(entry => [entry.key, entry.revision]));
         listener.onListing(listing.entries);
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -27,6 +27,7 @@
     PlatformRestored = 5002,
     PlatformCallFailed = 5003,
     EndpointNewsLate = 5004,
+    StoreDutyChanged = 5005,
     HostLeft = 5102,
     PeerRejected = 5201,
     PeerUnreachable = 5202,
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -3,6 +3,7 @@
 import { startControlServer } from "../../src/control/index.js";
 import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
 import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
+import { createEndpointKnowledge } from "../../src/direct/EndpointKnowledge.js";
 import { startPeerFallback } from "../../src/direct/PeerFallback.js";
 import { createRouteIndexHolder } from "../../src/direct/RouteIndexHolder.js";
 import { type RouterSnapshot, buildDirectControl } from "../../src/direct/directControl.js";
@@ -16,6 +17,7 @@
 const KEY = "key-of-the-tests";
 const PLATFORM_AGE_MS = 5_000;
 const SETTLE_MS = 900;
+const PROMPT_MS = 200;
 
 function buildRecord(id: string): EndpointRecord {
     const place = { host: ADDRESS, port: 1, zone: "a", slots: 1 };
@@ -23,7 +25,12 @@
 }
 
 /** Starts a peer with a snapshot and the fallback of a router that gets no answer from the platform. */
-async function startDisconnectedRouter(t: OwningTest, peerSnapshot: RouterSnapshot, ownRevision: number) {
+async function startDisconnectedRouter(
+    t: OwningTest,
+    peerSnapshot: RouterSnapshot,
+    ownRevision: number,
+    ownAgeMs = PLATFORM_AGE_MS,
+) {
     const server = http.createServer();
     const port = await listenOn(server, 0, ADDRESS);
     const control = startControlServer(
@@ -38,6 +45,10 @@
         onChange: () => undefined,
     });
     const holder = createRouteIndexHolder(() => undefined);
+    const knowledge = createEndpointKnowledge();
+    if (ownRevision > 0) {
+        knowledge.recordRevision(ownRevision, ownAgeMs);
+    }
     const fallback = startPeerFallback({
         processKey: KEY,
         seeds: [],
@@ -46,8 +57,9 @@
         gossip: { listRecent: () => [peerMessage] } as unknown as PeerGossip,
         holder,
         directory,
-        getPlatformAgeMs: () => PLATFORM_AGE_MS,
-        getEndpointRevision: () => ownRevision,
+        ownZone: "a",
+        knowledge,
+        isReadingStore: () => ownAgeMs === PLATFORM_AGE_MS,
         logger: createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() }),
     });
     t.teardown(async () => {
@@ -55,22 +67,32 @@
         control.close();
         server.close();
     });
-    return { directory, holder, fallback };
+    return { directory, holder, fallback, knowledge };
+}
+
+function buildMessage(change: Partial<GossipMessage>): GossipMessage {
+    const message = { address: ADDRESS, zone: "a", version: 0, endpointRevision: 7, endpointAgeMs: 40, ...change };
+    return message as GossipMessage;
 }
 
 t.test("a router without answers from the platform gets routes and endpoints from a peer", async t => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
     const document = { version: 4, routes: [], services: [], limits, teams: undefined };
-    const peerSnapshot = { document, endpoints: [buildRecord("1")], endpointRevision: 7 };
-    const { directory, holder, fallback } = await startDisconnectedRouter(t, peerSnapshot, 0);
+    const peerSnapshot = { document, endpoints: [buildRecord("1")], endpointRevision: 7, endpointAgeMs: 0 };
+    const { directory, holder, knowledge } = await startDisconnectedRouter(t, peerSnapshot, 0);
     await waitFor(SETTLE_MS);
     t.equal(holder.getVersion(), 4);
     t.equal(directory.listServing("app").length, 1);
-    t.equal(fallback.getEndpointRevision(), 7);
+    t.equal(knowledge.getRevision(), 7);
 });
 
 t.test("a peer's older snapshot does not restore a removed endpoint", async t => {
-    const peerSnapshot = { document: undefined, endpoints: [buildRecord("gone")], endpointRevision: 7 };
+    const peerSnapshot = {
+        document: undefined,
+        endpoints: [buildRecord("gone")],
+        endpointRevision: 7,
+        endpointAgeMs: 0,
+    };
     const { directory } = await startDisconnectedRouter(t, peerSnapshot, 9);
     directory.applyListing([buildRecord("1")]);
     await waitFor(SETTLE_MS);
@@ -79,3 +101,32 @@
         ["1"],
     );
 });
+
+t.test("a router that does not read the store takes the list of a peer of its zone as soon as it differs", async t => {
+    const peerSnapshot = { document: undefined, endpoints: [buildRecord("2")], endpointRevision: 7, endpointAgeMs: 40 };
+    const { directory, knowledge, fallback } = await startDisconnectedRouter(t, peerSnapshot, 5, 900);
+    directory.applyListing([buildRecord("1")]);
+    fallback.handleMessage(buildMessage({ zone: "b", endpointDigest: 1 }));
+    fallback.handleMessage(buildMessage({ endpointRevision: 4, endpointDigest: 1 }));
+    await waitFor(PROMPT_MS);
+    t.equal(directory.listServing("app")[0]?.id, "1", "neither another zone nor an older list is asked for");
+    fallback.handleMessage(buildMessage({ endpointDigest: 1 }));
+    await waitFor(PROMPT_MS);
+    t.equal(directory.listServing("app")[0]?.id, "2");
+    t.equal(knowledge.getRevision(), 7);
+    t.ok(knowledge.getAgeMs() >= 40, "the age is that of the peer's list");
+});
+
+t.test("a peer with the same list confirms it without a call, and one with an older revision does not", async t => {
+    const peerSnapshot = { document: undefined, endpoints: [], endpointRevision: 9, endpointAgeMs: 0 };
+    const { directory, knowledge, fallback } = await startDisconnectedRouter(t, peerSnapshot, 5, 900);
+    directory.applyListing([buildRecord("1")]);
+    const endpointDigest = directory.getDigest();
+    fallback.handleMessage(buildMessage({ endpointRevision: 4, endpointDigest }));
+    t.ok(knowledge.getAgeMs() >= 900);
+    fallback.handleMessage(buildMessage({ endpointRevision: 8, endpointDigest }));
+    t.equal(knowledge.getRevision(), 8);
+    t.ok(knowledge.getAgeMs() < 900);
+    await waitFor(PROMPT_MS);
+    t.equal(directory.listServing("app").length, 1);
+});
--- a/tests/platform/prefixWatcherTests.ts
+++ b/tests/platform/prefixWatcherTests.ts
@@ -7,7 +7,7 @@
 const WAIT_MS = 60_000;
 const SETTLE_MS = 30;
 
-function startRecorder(store: KeyValueStore) {
+function startRecorder(store: KeyValueStore, isPaused?: () => boolean) {
     const seen: string[] = [];
     const watcher = startPrefixWatcher({
         service: store,
@@ -15,6 +15,7 @@
         waitMs: WAIT_MS,
         periodMs: 0,
         answerTimeoutMs: WAIT_MS,
+        isPaused,
         listener: {
             onListing: entries => seen.push(`listed ${entries.map(entry => entry.value).join(" ")}`),
             onChanged: (entry: KeyValueEntry) => seen.push(`changed ${entry.value}`),
@@ -76,3 +77,42 @@
     await watcher.stop();
     t.strictSame(seen, ["listed ", "listed one"]);
 });
+
+t.test("a paused watcher makes no calls, and reads a new listing when it goes on", async t => {
+    const store = createKeyValueStore();
+    await store.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    let isPaused = false;
+    const { seen, watcher } = startRecorder(store, () => isPaused);
+    await waitFor(SETTLE_MS);
+    isPaused = true;
+    watcher.restart();
+    await waitFor(SETTLE_MS);
+    await store.swapEntry({ key: "a/2", expectedRevision: 0, value: "two" });
+    await waitFor(SETTLE_MS);
+    t.strictSame(seen, ["listed one"]);
+    isPaused = false;
+    await waitFor(SETTLE_MS * 3);
+    await watcher.stop();
+    t.strictSame(seen, ["listed one", "listed one two"]);
+});
+
+t.test("a listing under way when the watcher is restarted is not reported", async t => {
+    const store = createKeyValueStore();
+    const list = store.listSnapshot.bind(store);
+    let isFirst = true;
+    store.listSnapshot = async (...call) => {
+        const listing = await list(...call);
+        if (isFirst) {
+            isFirst = false;
+            await waitFor(SETTLE_MS);
+        }
+        return listing;
+    };
+    await store.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    const { seen, watcher } = startRecorder(store);
+    await store.swapEntry({ key: "a/2", expectedRevision: 0, value: "two" });
+    watcher.restart();
+    await waitFor(SETTLE_MS * 3);
+    await watcher.stop();
+    t.strictSame(seen, ["listed one two"]);
+});
