Let one router of each zone speak to the other zones

Cause: each router sent its load to all routers of all zones, so that the datagrams between zones grew with the square of the fleet: with 99 routers in 5 zones about 7,800 every 0.4 s. Each choice of an endpoint added up the loads of 98 peers for each of 192 endpoints.

Change: the first router of a zone in a fixed order that was heard from lately sends the sum of the zone's loads; the next takes over after 1 s of silence. Addresses are passed on with their zones, so that routers of other zones are known without being heard. Announcements of a planned stop still go to all.

Tests: peerGossipTests. The test that a router of another zone is heard less often is replaced: each router hears all of its zone and exactly one router of each other zone, all know of all, and the next one speaks when the speaker falls silent.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -1,5 +1,5 @@
 import type { KeyValueService } from "../platform/index.js";
-import { type PeerGossip, type GossipMessage, startPeerGossip } from "../peers/index.js";
+import { type PeerGossip, type GossipMessage, type GossipState, startPeerGossip } from "../peers/index.js";
 import type { Logger } from "../telemetry/logger.js";
 import { readMonotonicMs } from "../utils/time.js";
 import type { DirectCodec } from "./DirectCodec.js";
@@ -139,7 +139,7 @@
         return Number.isFinite(ageMs) ? Math.round(ageMs) : -1;
     }
 
-    function buildMessage(): Omit<GossipMessage, "address" | "routers"> {
+    function buildMessage(isToOtherZones: boolean): GossipState {
         const ageMs = storeSync.getAgeMs();
         return {
             host: settings.host,
@@ -150,7 +150,8 @@
             endpointRevision: knowledge.getRevision(),
             endpointAgeMs: readKnowledgeAge(),
             endpointDigest: directory.getDigest(),
-            load: load.getLocalCounts(),
+            load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
+            isZoneLoad: isToOtherZones,
             suspects: suspects.listSuspects(readMonotonicMs()),
             isLeaving,
         };
@@ -158,7 +159,11 @@
 
     function handleMessage(message: GossipMessage): void {
         const now = readMonotonicMs();
-        load.setPeerLoad(message.address, message.load, now);
+        if (message.isZoneLoad) {
+            load.setZoneLoad(message.zone, message.load, now);
+        } else if (message.zone === settings.zone) {
+            load.setPeerLoad(message.address, message.load, now);
+        }
         suspects.mergeSuspects(message.suspects, now);
         fallback.handleMessage(message);
     }
@@ -169,6 +174,6 @@
         }
         const isFresh = (age: number): boolean => age >= 0 && age < PLATFORM_SILENCE_MS;
         const peers = gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS);
-        return !peers.some(peer => isFresh(peer.platformAgeMs) && peer.version <= holder.getVersion());
+        return !peers.some(peer => isFresh(peer.endpointAgeMs) && peer.version <= holder.getVersion());
     }
 }
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -34,7 +34,7 @@
 
 const CHECK_PERIOD_MS = 500;
 const CALL_TIMEOUT_MS = 700;
-/** Maximum time since a peer's last answer from the platform for its snapshot to be fetched, in milliseconds. */
+/** Maximum time since the platform confirmed a peer's list for it to be fetched, in milliseconds. */
 const MAX_PEER_PLATFORM_AGE_MS = 2_000;
 
 /**
@@ -84,14 +84,14 @@
     }
 
     /**
-     * Chooses the peer with the most recent answer from the platform. Without such a peer, a router that has no routes or
+     * Chooses the peer whose list the platform has confirmed last. Without such a peer, a router that has no routes or
      * no endpoints tries its seeds in turn.
      */
     function choosePeer(): string | undefined {
         const candidates = options.gossip
             .listRecent(MAX_PEER_PLATFORM_AGE_MS)
-            .filter(message => message.platformAgeMs >= 0 && message.platformAgeMs < MAX_PEER_PLATFORM_AGE_MS)
-            .sort((left, right) => left.platformAgeMs - right.platformAgeMs);
+            .filter(message => message.endpointAgeMs >= 0 && message.endpointAgeMs < MAX_PEER_PLATFORM_AGE_MS)
+            .sort((left, right) => left.endpointAgeMs - right.endpointAgeMs);
         if (candidates[0] !== undefined) {
             return `${candidates[0].address}:${options.controlPort}`;
         }
--- a/src/direct/storeDuty.ts
+++ b/src/direct/storeDuty.ts
@@ -1,4 +1,4 @@
-import { computeHash32 } from "../utils/digest.js";
+import { compareByHash } from "../utils/digest.js";
 
 /** A router, as far as the choice of the store's readers depends on it. */
 export interface DutyRouter {
@@ -37,12 +37,9 @@
         platformAgeMs >= 0 && platformAgeMs < maxSilenceMs;
     return !peers.some(
         peer =>
-            peer.zone === own.zone && !peer.isLeaving && hasRecentAnswer(peer) && isBefore(peer.address, own.address),
+            peer.zone === own.zone &&
+            !peer.isLeaving &&
+            hasRecentAnswer(peer) &&
+            compareByHash(peer.address, own.address) < 0,
     );
 }
-
-/** Orders routers by hash, so that the duty does not always fall to the hosts that were numbered first. */
-function isBefore(left: string, right: string): boolean {
-    const [leftHash, rightHash] = [computeHash32(left), computeHash32(right)];
-    return leftHash === rightHash ? left < right : leftHash < rightHash;
-}
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -1,6 +1,7 @@
 import dgram from "node:dgram";
 import { z } from "zod";
 import { EventId, type Logger } from "../telemetry/index.js";
+import { compareByHash } from "../utils/digest.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
 
 const messageSchema = z.object({
@@ -19,18 +20,25 @@
     endpointAgeMs: z.number().default(-1),
     /** Digest of that list. */
     endpointDigest: z.number().default(-1),
-    /** Number of the sender's requests in progress by endpoint. */
+    /** Number of requests in progress by endpoint: the sender's, or those of its zone. */
     load: z.record(z.string(), z.number()),
+    /** The load is that of all routers of the sender's zone, as known to the sender. */
+    isZoneLoad: z.boolean().default(false),
     /** Digests of requests during which endpoints were lost. */
     suspects: z.array(z.object({ digest: z.string(), losses: z.number().int(), generation: z.number().int() })),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
     routers: z.array(z.ipv4()),
+    /** Zones of these routers, in the same order. */
+    routerZones: z.array(z.string()).default([]),
     isLeaving: z.boolean(),
 });
 
-/** State that a router sends to all others several times a second. */
+/** State that a router sends to others several times a second. */
 export type GossipMessage = z.infer<typeof messageSchema>;
 
+/** State that a router adds to its messages. */
+export type GossipState = Omit<GossipMessage, "address" | "routers" | "routerZones">;
+
 /** Options of the gossip. */
 export interface PeerGossipOptions {
     address: string;
@@ -39,12 +47,19 @@
     seeds: readonly string[];
     /** Availability zone of this router. */
     zone: string;
-    buildMessage: () => Omit<GossipMessage, "address" | "routers">;
+    /**
+     * Builds the state to be sent.
+     * @param isToOtherZones - The receivers hear from one router of this zone only.
+     */
+    buildMessage: (isToOtherZones: boolean) => GossipState;
     onMessage: (message: GossipMessage) => void;
     logger: Logger;
 }
 
-/** Exchanges state between routers by UDP datagrams. */
+/**
+ * Exchanges state between routers by UDP datagrams: each sends to those of its availability zone, and one of each zone, the
+ * speaker, to all others, so that the datagrams between zones grow with the number of routers and not with its square.
+ */
 export interface PeerGossip {
     /** Sends a message to all peers immediately instead of at the next period. */
     sendNow(): void;
@@ -63,6 +78,13 @@
     receivedAt: number;
 }
 
+/** A router that is known by its address. */
+interface KnownRouter {
+    /** Undefined if it was neither heard from nor mentioned with its zone. */
+    zone: string | undefined;
+    seenAt: number;
+}
+
 /**
  * Sending period per known router of the same availability zone, in milliseconds. Limits the datagrams that a router
  * receives from its zone to about 200 a second, or about 1% of its processor time.
@@ -72,10 +94,12 @@
 const MIN_PERIOD_MS = 50;
 const MAX_PERIOD_MS = 400;
 /**
- * Period per known router of sending to all zones, in milliseconds. Longer than within the zone, since traffic between
+ * Period per known router of sending to other zones, in milliseconds. Longer than within the zone, since traffic between
  * zones is charged and few requests are sent to other zones.
  */
-const ALL_ZONES_PERIOD_PER_ROUTER_MS = 12;
+const OTHER_ZONES_PERIOD_PER_ROUTER_MS = 12;
+/** Time without a message after which a router is no longer taken for the speaker of its zone, in milliseconds. */
+const SPEAKER_SILENCE_MS = 1_000;
 /** Number of router addresses in one datagram; enough for a new router to discover 100 others within a second. */
 const ADDRESSES_PER_DATAGRAM = 8;
 /** Time without a message after which a router is removed from the peers, in milliseconds. */
@@ -89,55 +113,89 @@
 export function startPeerGossip(options: PeerGossipOptions): PeerGossip {
     const { logger } = options;
     const seeds = new Set(options.seeds.filter(seed => seed !== options.address));
-    const lastSeenAt = new Map<string, number>();
+    const known = new Map<string, KnownRouter>();
     const lastMessages = new Map<string, ReceivedMessage>();
     let peakRouterCount = 1;
     let nextSampleStart = 0;
-    let sentToAllAt = Number.NEGATIVE_INFINITY;
+    let stopping: Promise<void> | undefined;
+    let sentToOtherZonesAt = Number.NEGATIVE_INFINITY;
     const socket = dgram.createSocket("udp4");
     socket.on("error", error => logger.logFailure(EventId.TaskFailed, error, { task: "peer news" }));
     socket.on("message", (bytes, sender) => handleDatagram(bytes, sender.address));
     socket.bind(options.port, options.address);
     const loop: Loop = startLoop(
-        () => computePeriod(SAME_ZONE_PERIOD_PER_ROUTER_MS, [...lastSeenAt.keys()].filter(isInOwnZone).length),
+        () => computePeriod(SAME_ZONE_PERIOD_PER_ROUTER_MS, listAddresses(isInOwnZone).length),
         () => Promise.resolve(sendPeriodic()),
         error => logger.logFailure(EventId.TaskFailed, error, { task: "peer news" }),
     );
     return {
-        sendNow: () => sendTo(() => true),
+        sendNow() {
+            sendToOwnZone();
+            sendTo(listAddresses(isInOtherZone), false);
+        },
         listRecent,
         getPeakRouterCount: () => peakRouterCount,
-        async stop() {
-            await loop.stop();
-            socket.close();
+        stop() {
+            stopping ??= loop.stop().then(() => void socket.close());
+            return stopping;
         },
     };
 
     function sendPeriodic(): void {
         const now = readMonotonicMs();
-        const isAllZonesDue = now - sentToAllAt >= computePeriod(ALL_ZONES_PERIOD_PER_ROUTER_MS, lastSeenAt.size);
-        if (isAllZonesDue) {
-            sentToAllAt = now;
+        expireRouters(now);
+        sendToOwnZone();
+        if (now - sentToOtherZonesAt >= computePeriod(OTHER_ZONES_PERIOD_PER_ROUTER_MS, known.size)) {
+            sentToOtherZonesAt = now;
+            sendTo(isSpeaker() ? listAddresses(isInOtherZone) : [], true);
         }
-        sendTo(address => isAllZonesDue || isInOwnZone(address));
     }
 
-    function isInOwnZone(address: string): boolean {
-        return lastMessages.get(address)?.message.zone === options.zone;
+    /** Includes routers whose zone is not known yet, so that they learn of this one. */
+    function sendToOwnZone(): void {
+        const unknownSeeds = [...seeds].filter(seed => !known.has(seed));
+        sendTo([...unknownSeeds, ...listAddresses(router => !isInOtherZone(router))], false);
     }
 
-    function sendTo(isRecipient: (address: string) => boolean): void {
-        const now = readMonotonicMs();
-        for (const [address, seenAt] of lastSeenAt) {
+    function listAddresses(isWanted: (router: KnownRouter) => boolean): string[] {
+        return [...known].filter(([, router]) => isWanted(router)).map(([address]) => address);
+    }
+
+    function isInOwnZone({ zone }: KnownRouter): boolean {
+        return zone === options.zone;
+    }
+
+    function isInOtherZone({ zone }: KnownRouter): boolean {
+        return zone !== undefined && zone !== options.zone;
+    }
+
+    /** Returns whether this router is the first of its zone among those that were heard from lately. */
+    function isSpeaker(): boolean {
+        return listRecent(SPEAKER_SILENCE_MS).every(
+            ({ address, zone, isLeaving }) =>
+                zone !== options.zone || isLeaving || compareByHash(options.address, address) < 0,
+        );
+    }
+
+    function expireRouters(now: number): void {
+        for (const [address, { seenAt }] of known) {
             if (now - seenAt > PEER_EXPIRY_MS) {
-                lastSeenAt.delete(address);
+                known.delete(address);
                 lastMessages.delete(address);
             }
         }
+    }
+
+    function sendTo(addresses: readonly string[], isToOtherZones: boolean): void {
+        if (addresses.length === 0) {
+            return;
+        }
+        const routers = sampleAddresses();
         const message: GossipMessage = {
-            ...options.buildMessage(),
+            ...options.buildMessage(isToOtherZones),
             address: options.address,
-            routers: sampleAddresses(),
+            routers,
+            routerZones: routers.map(address => known.get(address)?.zone ?? ""),
         };
         const bytes = Buffer.from(JSON.stringify(message));
         if (bytes.length > MAX_DATAGRAM_BYTES) {
@@ -147,7 +205,7 @@
             });
             return;
         }
-        for (const address of [...new Set([...seeds, ...lastSeenAt.keys()])].filter(isRecipient)) {
+        for (const address of addresses) {
             // Send errors are ignored, since the next period sends a newer message.
             socket.send(bytes, options.port, address, () => undefined);
         }
@@ -164,9 +222,11 @@
         return [...addresses, ...addresses].slice(start, start + ADDRESSES_PER_DATAGRAM);
     }
 
-    function addAddress(address: string): void {
-        if (address !== options.address && !lastSeenAt.has(address)) {
-            lastSeenAt.set(address, readMonotonicMs());
+    function addRouter(address: string, zone: string): void {
+        const previous = known.get(address);
+        if (address !== options.address && previous?.zone === undefined) {
+            const mentioned = zone === "" ? undefined : zone;
+            known.set(address, { zone: mentioned, seenAt: previous?.seenAt ?? readMonotonicMs() });
         }
     }
 
@@ -177,10 +237,10 @@
             return;
         }
         const now = readMonotonicMs();
-        lastSeenAt.set(sender, now);
+        known.set(sender, { zone: message.zone, seenAt: now });
         lastMessages.set(sender, { message, receivedAt: now });
-        message.routers.forEach(addAddress);
-        peakRouterCount = Math.max(peakRouterCount, lastSeenAt.size + 1);
+        message.routers.forEach((address, index) => addRouter(address, message.routerZones[index] ?? ""));
+        peakRouterCount = Math.max(peakRouterCount, known.size + 1);
         options.onMessage(message);
     }
 
--- a/src/utils/digest.ts
+++ b/src/utils/digest.ts
@@ -67,6 +67,15 @@
     return computeHash32(text) / HASH_RANGE;
 }
 
+/**
+ * Compares two texts by their hashes: an order that has nothing to do with how the texts were assigned.
+ * @param left - First text.
+ * @param right - Second text.
+ */
+export function compareByHash(left: string, right: string): number {
+    return computeHash32(left) - computeHash32(right) || left.localeCompare(right);
+}
+
 /**
  * Mixes the bits of a 32-bit hash so that close inputs end far apart.
  * @param hash - Hash to mix.
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -38,7 +38,7 @@
         buildDirectControl(() => peerSnapshot),
         [KEY],
     );
-    const peerMessage = { address: ADDRESS, version: 0, platformAgeMs: 0 } as GossipMessage;
+    const peerMessage = { address: ADDRESS, version: 0, endpointAgeMs: 0 } as GossipMessage;
     const directory = createEndpointDirectory({
         lapseGraceMs: 1,
         getStoreUptimeMs: () => 1,
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -16,7 +16,7 @@
         port,
         seeds,
         zone,
-        buildMessage: () => ({
+        buildMessage: isToOtherZones => ({
             host: address,
             zone,
             version: 3,
@@ -26,6 +26,7 @@
             endpointAgeMs: 0,
             endpointDigest: 0,
             load: { "i-1": 2 },
+            isZoneLoad: isToOtherZones,
             suspects: [],
             isLeaving: false,
         }),
@@ -65,16 +66,47 @@
     t.equal(router.lines.filter(line => line.includes("PeerRejected")).length, datagrams.length);
 });
 
-t.test("messages are sent to other zones less often in a large fleet", async t => {
+t.test("each router hears from all of its zone often, and from one router of each other zone", async t => {
     const [port = 0] = await findFreePorts(1);
     const addresses = Array.from({ length: 24 }, (unused, index) => `127.0.0.${index + 1}`);
     const routers = addresses.map((address, index) => startGossip(t, address, port, ["127.0.0.1"], `z${index % 3}`));
+    await waitFor(4 * SETTLE_MS);
+    routers.forEach(({ gossip, received }) => {
+        t.equal(gossip.getPeakRouterCount(), addresses.length, "all know of all");
+        received.splice(0);
+    });
     await waitFor(2 * SETTLE_MS);
-    const [first] = routers;
-    t.equal(first?.gossip.getPeakRouterCount(), addresses.length);
-    first?.received.splice(0);
+    routers.forEach(({ received }, index) => {
+        const ofZone = (zone: number) => received.filter(message => message.zone === `z${zone}`);
+        const senders = (zone: number) => new Set(ofZone(zone).map(({ address }) => address)).size;
+        t.strictSame(
+            [0, 1, 2].map(zone => senders(zone)),
+            [0, 1, 2].map(zone => (zone === index % 3 ? addresses.length / 3 - 1 : 1)),
+        );
+        const others = received.filter(message => message.zone !== `z${index % 3}`);
+        t.ok(others.length > 0 && others.every(message => message.isZoneLoad));
+        t.ok(ofZone(index % 3).length > 4 * others.length, "the same zone sends more often than another one");
+        t.ok(ofZone(index % 3).every(message => !message.isZoneLoad));
+    });
+});
+
+t.test("when the router that speaks for a zone falls silent, another one does", async t => {
+    const [port = 0] = await findFreePorts(1);
+    const addresses = ["127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"];
+    const routers = addresses.map((address, index) =>
+        startGossip(t, address, port, ["127.0.0.1"], index === 0 ? "a" : "b"),
+    );
     await waitFor(2 * SETTLE_MS);
-    const countFrom = (address: string) => first?.received.filter(message => message.address === address).length ?? 0;
-    t.ok(countFrom("127.0.0.4") > 2 * countFrom("127.0.0.2"), "the same zone sends more often than another one");
-    t.ok(countFrom("127.0.0.2") > 0);
+    const [listener] = routers;
+    const findSpeakers = (): Set<string> =>
+        new Set(listener?.received.filter(({ zone }) => zone === "b").map(({ address }) => address));
+    listener?.received.splice(0);
+    await waitFor(SETTLE_MS);
+    const [speaker] = findSpeakers();
+    await routers[addresses.indexOf(speaker ?? "")]?.gossip.stop();
+    await waitFor(3 * SETTLE_MS);
+    listener?.received.splice(0);
+    await waitFor(SETTLE_MS);
+    t.equal(findSpeakers().size, 1);
+    t.notOk(findSpeakers().has(speaker ?? ""));
 });
