Keep the time between two answers of the endpoint watch below the silence of the store

Cause: with a bound of 3 s or more for a leaving endpoint, a quiet store answered after the period and the wait of a call: 1.5 s at 3 s, 1.7 s at 4 s and more. From 1.5 s on the store counts as silent, its uptime starts anew, and an endpoint that is removed then is kept for another 2 s as if the store had been away.

Change: the wait ends 1.2 s after the start of the call before at the latest. The times are in a file of their own.

--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -12,6 +12,7 @@
 import type { EndpointKnowledge } from "./EndpointKnowledge.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
+import { computeWatchTimes } from "./computeWatchTimes.js";
 
 /** Options of the synchronisation with the store. */
 export interface StoreSyncOptions {
@@ -42,19 +43,6 @@
 const DOCUMENT_PERIOD_MS = 50;
 /** Answer timeout of a document watch after its wait, in milliseconds; equals the store client's timeout. */
 const DOCUMENT_ANSWER_TIMEOUT_MS = 700;
-/**
- * Fractions of `leavingMs` for the endpoint watch: the minimum period of its calls, the wait of a call, and the time
- * allowed for the answer. Their sum leaves a fifth for a second call after one that hung on a dead connection.
- */
-const ENDPOINT_PERIOD_FRACTION = 0.3;
-const ENDPOINT_WAIT_FRACTION = 0.2;
-const ENDPOINT_ANSWER_FRACTION = 0.3;
-/**
- * Upper bounds of that period and of the answer timeout, in milliseconds. With a long `leavingMs`, they keep the time
- * between two answers short, so that a slow answer does not make the store count as unreachable.
- */
-const MAX_ENDPOINT_PERIOD_MS = 900;
-const MAX_ENDPOINT_ANSWER_TIMEOUT_MS = 700;
 /** Interval at which a router checks whether it is to read the service, in milliseconds. */
 const DUTY_CHECK_MS = 50;
 /** Fraction of `leavingMs` without an answer from which the gap is logged. */
@@ -91,9 +79,7 @@
     const endpointWatcher: PrefixWatcher = startPrefixWatcher({
         service,
         prefix: codec.endpointPrefix,
-        waitMs: ENDPOINT_WAIT_FRACTION * options.leavingMs,
-        periodMs: Math.min(MAX_ENDPOINT_PERIOD_MS, ENDPOINT_PERIOD_FRACTION * options.leavingMs),
-        answerTimeoutMs: Math.min(MAX_ENDPOINT_ANSWER_TIMEOUT_MS, ENDPOINT_ANSWER_FRACTION * options.leavingMs),
+        ...computeWatchTimes(options.leavingMs),
         isPaused,
         listener: {
             onListing(entries) {
--- /dev/null
+++ b/src/direct/computeWatchTimes.ts
@@ -0,0 +1,37 @@
+/** Times of the watch of the endpoints, in milliseconds. */
+export interface WatchTimes {
+    /** Minimum time between the starts of two calls. */
+    periodMs: number;
+    /** Maximum wait of a call at the store. */
+    waitMs: number;
+    /** Time beyond the wait after which a call has failed. */
+    answerTimeoutMs: number;
+}
+
+/**
+ * Fractions of the time within which a leaving endpoint must be recognised. Their sum leaves a fifth for a second call after
+ * one that hung on a dead connection.
+ */
+const PERIOD_FRACTION = 0.3;
+const WAIT_FRACTION = 0.2;
+const ANSWER_FRACTION = 0.3;
+const MAX_PERIOD_MS = 900;
+const MAX_ANSWER_TIMEOUT_MS = 700;
+/**
+ * Maximum time between two answers of a store that answers at once, in milliseconds. It leaves 0.3 s for the answer of a
+ * slow store before it counts as silent.
+ */
+const MAX_GAP_MS = 1_200;
+
+/**
+ * Computes the times of the watch of the endpoints.
+ * @param leavingMs - Maximum time until a leaving endpoint is recognised, in milliseconds.
+ */
+export function computeWatchTimes(leavingMs: number): WatchTimes {
+    const periodMs = Math.min(MAX_PERIOD_MS, PERIOD_FRACTION * leavingMs);
+    return {
+        periodMs,
+        waitMs: Math.min(MAX_GAP_MS - periodMs, WAIT_FRACTION * leavingMs),
+        answerTimeoutMs: Math.min(MAX_ANSWER_TIMEOUT_MS, ANSWER_FRACTION * leavingMs),
+    };
+}
--- a/tests/direct/storeDutyTests.ts
+++ b/tests/direct/storeDutyTests.ts
@@ -2,7 +2,9 @@
 import type { KeyValueService } from "../../src/platform/index.js";
 import { ErrorCode, createError } from "../../src/errors/index.js";
 import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
+import { PLATFORM_SILENCE_MS, createEndpointKnowledge } from "../../src/direct/EndpointKnowledge.js";
 import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
+import { computeWatchTimes } from "../../src/direct/computeWatchTimes.js";
 import { type DutyRouter, isOnStoreDuty } from "../../src/direct/storeDuty.js";
 import { buildList } from "../../src/utils/list.js";
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
@@ -78,6 +80,45 @@
     t.end();
 });
 
+t.test(
+    "a quiet store that answers within 0.3 s never counts as silent, whatever the bound of a leaving endpoint",
+    t => {
+        const ANSWER_MS = 300;
+        for (let leavingMs = 500; leavingMs <= 20_000; leavingMs += 500) {
+            const { periodMs, waitMs, answerTimeoutMs } = computeWatchTimes(leavingMs);
+            t.ok(periodMs + waitMs + ANSWER_MS <= PLATFORM_SILENCE_MS, `${leavingMs} ms: ${periodMs} and ${waitMs} ms`);
+            t.ok(waitMs > 0 && periodMs + waitMs + answerTimeoutMs < leavingMs);
+        }
+        t.end();
+    },
+);
+
+t.test(
+    "the store's uptime lasts while its answers come, from whomever, and ends with a silence or an own failure",
+    t => {
+        t.clock.enter();
+        const knowledge = createEndpointKnowledge();
+        t.equal(knowledge.getUptimeMs(), 0);
+        for (let passed = 0; passed < 4; passed++) {
+            knowledge.recordRevision(passed, 100);
+            t.clock.advance(1_300);
+        }
+        t.equal(knowledge.getUptimeMs(), 5_300);
+        knowledge.recordRevision(9, 0);
+        t.clock.advance(PLATFORM_SILENCE_MS);
+        t.equal(knowledge.getUptimeMs(), 0, "silent");
+        knowledge.recordRevision(10, 0);
+        t.clock.advance(200);
+        t.equal(knowledge.getUptimeMs(), 200, "counts anew");
+        knowledge.recordFailure();
+        t.equal(knowledge.getUptimeMs(), 0);
+        knowledge.recordRevision(8, 50);
+        t.strictSame([knowledge.getRevision(), knowledge.getAgeMs()], [10, 50], "the revision never falls");
+        t.clock.exit();
+        t.end();
+    },
+);
+
 function buildRecord(id: string): EndpointRecord {
     const place = { host: "127.0.0.1", port: 1, zone: "a", slots: 1 };
     return { id, service: "app", ...place, isLeaving: false, bornAt: 1, group: undefined };
