Log the first failure of a streak of map rounds, and let agents know their rank before they stand for election

All 192 agents took themselves for the first rank until the first call to the store, so that all asked for a lease and the key 0.8 s after the start.

A candidate reads its rank first.

--- a/src/groups/ordered/CoordinatorElection.ts
+++ b/src/groups/ordered/CoordinatorElection.ts
@@ -13,6 +13,8 @@
     acceptTerm(term: number): boolean;
     /** Returns whether this agent is the leader, or the leader's election timeout has passed so that it should stand for election. */
     isLeaderOrCandidate(): boolean;
+    /** Records the rank of this agent; until it is known, the agent stands for election like the first rank. */
+    recordRank(rank: number): void;
     /**
      * Tries to acquire the leadership unless it is held. Its lease is renewed in the background, since a round of the
      * coordinator may take longer than the lease.
@@ -63,6 +65,7 @@
     return {
         acceptTerm,
         isLeaderOrCandidate,
+        recordRank: known => void (rank = known),
         acquireLeadership,
         getTerm: () => lease?.getTerm(),
         isLeader: () => lease?.getTerm() !== undefined && !freezeWatch.hasStoodStill(),
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -1,7 +1,7 @@
 import { openControlPort } from "../../control/index.js";
 import type { DirectCodec } from "../../direct/index.js";
 import { type KeyValueService, createCountedService } from "../../platform/index.js";
-import { EventId, type Logger, startMetricsServer } from "../../telemetry/index.js";
+import { EventId, type Logger, createFailureStreak, startMetricsServer } from "../../telemetry/index.js";
 import type { RunningProgram } from "../../utils/runUntilSignal.js";
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../../utils/time.js";
 import { createBranchRelay } from "./BranchRelay.js";
@@ -72,9 +72,8 @@
         openControlPort({ address, port: controlPort, router, processKey }),
         startMetricsServer(metrics.set, { isReady: () => true }, metricsPort, address),
     ]);
-    const loop: Loop = startLoop(ROUND_INTERVAL_MS, runRound, error =>
-        logger.logFailure(EventId.TaskFailed, error, { task: "map round" }),
-    );
+    const failures = createFailureStreak(logger, "map round");
+    const loop: Loop = startLoop(ROUND_INTERVAL_MS, runRound, failures.recordFailure);
     logger.logEvent(EventId.ProcessStarted, { service: settings.service, address });
     return {
         async stop() {
@@ -95,6 +94,11 @@
             return;
         }
         const report = await platform.link.readReport();
+        failures.recordSuccess();
+        election.recordRank(report.rank);
+        if (!election.isLeaderOrCandidate()) {
+            return;
+        }
         const wasLeader = election.getTerm() !== undefined;
         const term = await election.acquireLeadership(report);
         if (term === undefined) {
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,4 +1,5 @@
 export { EventId } from "./EventId.js";
+export * from "./FailureStreak.js";
 export * from "./logger.js";
 export * from "./MetricSet.js";
 export type { MetricsSource } from "./MetricsSource.js";
--- a/tests/groups/ordered/electionTests.ts
+++ b/tests/groups/ordered/electionTests.ts
@@ -59,6 +59,16 @@
     t.ok(second.office.isLeaderOrCandidate());
 });
 
+t.test("an agent that has just learned its rank leaves the leadership to the first ranks", t => {
+    t.clock.enter();
+    const { office } = startElection(t, createKeyValueStore(), 191);
+    t.clock.advance(FIRST_RANK_TIMEOUT_MS);
+    t.ok(office.isLeaderOrCandidate());
+    office.recordRank(191);
+    t.notOk(office.isLeaderOrCandidate());
+    t.end();
+});
+
 t.test("an agent that was suspended acquires the leadership again", async t => {
     t.clock.enter();
     const store = createKeyValueStore();
