Judge the gain of a copied expert by a rank's share of the objective

Cause: a copy had to bring a fraction of the whole objective, which is a sum over the ranks. What that asks of one rank grows with the group: at 192 ranks twelve times what it is at 16, so an idle group stopped planning at 1.45 to 1.48 times the mean; at 8 ranks half of it, so small groups copied experts that brought little.

Change: the thresholds are multiples of a rank's mean share, and equal the earlier ones at 16 ranks, where they were measured.

--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -52,9 +52,9 @@
 const MIN_GAIN_IDLE = 0.3;
 /** Requests per slot above which a group counts as busy. */
 const BUSY_FRACTION = 0.7;
-/** Fraction of the objective that each copied expert must gain; avoids copies of rarely chosen experts. */
-const MIN_GAIN_PER_COPY_BUSY = 0.015;
-const MIN_GAIN_PER_COPY_IDLE = 0.04;
+/** Gain that each copied expert must bring, as a multiple of a rank's mean share of the objective; avoids copies of rarely chosen experts. */
+const MIN_GAIN_PER_COPY_BUSY = 0.24;
+const MIN_GAIN_PER_COPY_IDLE = 0.64;
 const PREPARE_TIMEOUT_MS = 3_000;
 const SWITCH_TIMEOUT_MS = 1_500;
 const POLL_INTERVAL_MS = 25;
--- a/src/groups/ordered/SetSearch.ts
+++ b/src/groups/ordered/SetSearch.ts
@@ -97,12 +97,13 @@
         const times = loads.map(getTime);
         const objective = times.reduce((sum, time) => sum + computeCost(time), 0);
         const order = [...loads.keys()].sort((left, right) => (times[right] ?? 0) - (times[left] ?? 0));
+        const leastGainPerCopy = (limits.leastGainPerCopy * objective) / size;
         const light = order.slice(-TARGET_RANKS).reverse();
         let best: Move | undefined;
         let bestGain = MIN_RELATIVE_GAIN * objective;
         for (const from of order.slice(0, SOURCE_RANKS)) {
             scanMoves(from, light, move => {
-                const gain = computeGain(move) - limits.leastGainPerCopy * objective * countNew(move);
+                const gain = computeGain(move) - leastGainPerCopy * countNew(move);
                 if (gain > bestGain) {
                     best = { ...move };
                     bestGain = gain;
--- a/src/groups/ordered/planMap.ts
+++ b/src/groups/ordered/planMap.ts
@@ -8,7 +8,7 @@
     reserve: number;
     /** Slowdown factor of each rank; a slow rank is assigned less load. */
     paces?: readonly number[];
-    /** Minimum gain per copied expert, as a fraction of the objective. */
+    /** Minimum gain per copied expert, as a multiple of a rank's mean share of the objective. */
     leastGainPerCopy: number;
 }
 
--- a/tests/groups/ordered/planSetsTests.ts
+++ b/tests/groups/ordered/planSetsTests.ts
@@ -6,7 +6,7 @@
 import { buildList } from "../../../src/utils/list.js";
 
 const SIZE = { layerSets: 12, ranks: 72, experts: 144 };
-const LIMITS: PlanLimits = { placements: 3, reserve: 2, leastGainPerCopy: 0.015 };
+const LIMITS: PlanLimits = { placements: 3, reserve: 2, leastGainPerCopy: 0.24 };
 
 /** Builds links to agents that plan, except those that do not answer. */
 function buildLinks(ranks: number, isSilent: (rank: number) => boolean) {
--- a/tests/groups/ordered/planTests.ts
+++ b/tests/groups/ordered/planTests.ts
@@ -10,6 +10,9 @@
 }
 
 const RESERVE = 2;
+/** Gains that a copy must bring in a busy and in an idle group, in rank's mean shares of the objective. */
+const LEAST_GAIN_PER_COPY = 0.24;
+const LEAST_GAIN_PER_COPY_IDLE = 0.64;
 const SKEW = 1.1;
 const JUMPS = 20;
 /** Target of the project: load of the most loaded rank over the mean, on average while demand shifts. */
@@ -42,7 +45,7 @@
         let sum = 0;
         for (let jump = 0; jump < JUMPS; jump++) {
             const loads = drawLoads(random, size.experts);
-            const limits = { placements: size.placements, reserve: RESERVE, leastGainPerCopy: 0.015 };
+            const limits = { placements: size.placements, reserve: RESERVE, leastGainPerCopy: LEAST_GAIN_PER_COPY };
             const plan = planSet(current, loads, limits);
             const held = new Set(plan.experts.flat());
             t.equal(held.size, size.experts, "each expert is held by a rank");
@@ -60,11 +63,35 @@
     });
 }
 
+t.test(
+    "an idle group of 192 ranks is balanced as well as a small one, as what a copy must bring does not grow with the ranks",
+    t => {
+        const ratios = [
+            { ranks: 16, experts: 32, placements: 3 },
+            { ranks: 192, experts: 384, placements: 3 },
+        ].map(size => {
+            const random = createRandom(4);
+            const limits = {
+                placements: size.placements,
+                reserve: RESERVE,
+                leastGainPerCopy: LEAST_GAIN_PER_COPY_IDLE,
+            };
+            const plans = buildList(JUMPS, () => {
+                const loads = buildList(size.experts, () => 1 / (0.02 + random.draw()));
+                return planSet(buildStart(size), loads, limits).after;
+            });
+            return plans.reduce((sum, after) => sum + after, 0) / JUMPS;
+        });
+        t.ok(Math.max(...ratios) <= TARGET_RATIO, ratios.map(ratio => ratio.toFixed(3)).join(" and "));
+        t.end();
+    },
+);
+
 t.test("a higher minimum gain per copy means fewer copies", t => {
     const random = createRandom(2);
     const size = { ranks: 16, experts: 64, placements: 5 };
     const loads = drawLoads(random, size.experts);
-    const copies = [0.003, 0.04, 0.5].map(
+    const copies = [0.048, 0.64, 8].map(
         leastGainPerCopy =>
             planSet(buildStart(size), loads, { placements: size.placements, reserve: RESERVE, leastGainPerCopy })
                 .copies,
@@ -77,7 +104,7 @@
     const size = { ranks: 16, experts: 64, placements: 5 };
     const loads = drawLoads(createRandom(3), size.experts);
     const paces = buildList(size.ranks, rank => (rank === 5 ? 12 : 1));
-    const limits = { placements: size.placements, reserve: RESERVE, leastGainPerCopy: 0.015, paces };
+    const limits = { placements: size.placements, reserve: RESERVE, leastGainPerCopy: LEAST_GAIN_PER_COPY, paces };
     let current = buildStart(size);
     for (let change = 0; change < 3; change++) {
         current = planSet(current, loads, limits).experts;
