Wait for a confirmed change of a map to take effect instead of settling the group

Cause: a change is released two passes ahead. So maps fell behind demand just when passes were slow.

Change: a settled coordinator that finds every rank armed for the same map, or using it, and no hold, waits. Test: coordinatorTests, 'a confirmed change that waits for its pass ...'.

--- a/src/groups/ordered/MapChange.ts
+++ b/src/groups/ordered/MapChange.ts
@@ -315,6 +315,14 @@
     );
 }
 
+/**
+ * Tells whether a group is about to switch to a map that every rank has confirmed, at a pass that nothing holds.
+ * @param reports - Reports of all ranks.
+ */
+export function isAboutToSwitch(reports: readonly RankReport[]): boolean {
+    return isArmedConsistently(reports) && !reports.some(isHeld);
+}
+
 /** Returns whether an order has taken effect according to the rank's own report. */
 function hasTakenEffect(order: RankOrder, report: RankReport, result: OrderResult): boolean {
     return match(order)
--- a/src/groups/ordered/MapCoordinator.ts
+++ b/src/groups/ordered/MapCoordinator.ts
@@ -4,7 +4,7 @@
 import type { AgentRankLink } from "./AgentRankLink.js";
 import type { GroupReader } from "./GroupReader.js";
 import { type ExpertLoads, createExpertLoads } from "./ExpertLoads.js";
-import { ChangeEnd, computeCooldownPasses, createMapChanger } from "./MapChange.js";
+import { ChangeEnd, computeCooldownPasses, createMapChanger, isAboutToSwitch } from "./MapChange.js";
 import type { RankMetrics } from "./RankMetrics.js";
 import type { ExpertMap, RankCounts, RankReport } from "./RankReport.js";
 import { type PlanLimits, computeSetRatio } from "./planMap.js";
@@ -114,6 +114,10 @@
     }
 
     async function settleOrChange(look: GroupSnapshot, current: ExpertMap): Promise<void> {
+        if (isSettled && isAboutToSwitch(look.reports)) {
+            // The coordinator's own change: every rank has confirmed it, and its hold is released.
+            return;
+        }
         const hasRemains = look.reports.some(report => report.armed !== undefined || report.heldStep !== undefined);
         if (!isSettled || hasRemains) {
             const settled = await changer.settleGroup(current, getNextVersion(look.reports));
--- a/tests/groups/ordered/coordinatorTests.ts
+++ b/tests/groups/ordered/coordinatorTests.ts
@@ -4,23 +4,26 @@
 import { planSet } from "../../../src/groups/ordered/planMap.js";
 import { createMapCoordinator } from "../../../src/groups/ordered/MapCoordinator.js";
 import {
-    OrderAnswer,
     type OrderResult,
     type RankCounts,
     type RankExperts,
     type RankOrder,
+    RankOrderKind,
     type RankReport,
 } from "../../../src/groups/ordered/index.js";
 import { createLogger } from "../../../src/telemetry/logger.js";
 import { createOrderedGroup } from "../../../standins/group/OrderedGroup.js";
 
 const SIZE = { ranks: 2, layerSets: 1, experts: 4 };
+/** Passes after a settlement during which no map is changed. */
+const COOLDOWN_PASSES = 5;
 const LAYOUT = { slots: 1, layerSets: SIZE.layerSets, experts: SIZE.experts, placements: 3, reserve: 2 };
 
 /** A coordinator whose links reach the given ranks, in that order. */
 function startCoordinator(reached: readonly number[]) {
     const group = createOrderedGroup({ ...SIZE, copyTicks: 0 });
     const orders: RankOrder[] = [];
+    const demand = { counts: [0, 0, 0, 0] };
     const links = reached.map(
         rank =>
             new (class DirectLink extends AgentRankLink {
@@ -37,7 +40,7 @@
                 }
 
                 override async readCounts(): Promise<RankCounts> {
-                    return { epoch: 1, step: 0, counts: [0, 0, 0, 0] };
+                    return { epoch: 1, step: group.getStep(), counts: [...demand.counts] };
                 }
 
                 override async readExperts(): Promise<RankExperts> {
@@ -46,9 +49,11 @@
 
                 override async sendOrder(order: RankOrder): Promise<OrderResult> {
                     orders.push(order);
-                    group.applyOrder(rank, order, 1);
-                    group.tick();
-                    return { answer: OrderAnswer.Accepted, detail: "", report: group.getReport(rank) };
+                    const answer = group.applyOrder(rank, order, 1);
+                    if (order.kind === RankOrderKind.Prepare) {
+                        group.tick();
+                    }
+                    return { answer, detail: "", report: group.getReport(rank) };
                 }
 
                 override close(): void {
@@ -67,7 +72,7 @@
         metrics: { recordChange: () => undefined },
         logger,
     });
-    return { coordinator, orders };
+    return { coordinator, orders, group, demand };
 }
 
 t.test("a new coordinator settles its group before anything else", async t => {
@@ -81,3 +86,24 @@
     t.equal(await coordinator.runRound(), false);
     t.strictSame(orders, []);
 });
+
+t.test("a confirmed change that waits for its pass is not taken for the remains of an earlier coordinator", async t => {
+    const { coordinator, orders, group, demand } = startCoordinator([0, 1]);
+    await coordinator.runRound();
+    for (let pass = 0; pass < COOLDOWN_PASSES; pass++) {
+        group.tick();
+    }
+    await coordinator.runRound();
+    demand.counts = [200_000, 1_000, 100_000, 1_000];
+    await coordinator.runRound();
+    t.equal(orders.at(-1)?.kind, RankOrderKind.Release, "the change is confirmed");
+    const given = orders.length;
+    await coordinator.runRound();
+    await coordinator.runRound();
+    t.equal(orders.length, given, "nothing is ordered while the ranks are armed");
+    group.tick();
+    group.tick();
+    t.equal(group.countChanges(), 1);
+    await coordinator.runRound();
+    t.equal(orders.length, given, "nor once the map is in use");
+});
