End streams of the agents that send bytes but make no progress

Cause: the agent's stall timer started anew with each byte. An engine that hangs while something before it keeps the connection open with comments, or that sends single bytes, held its caller and its slot without end.

Change: only a complete event that is no comment counts as progress; a plain answer still does with each byte. Slow streams that make progress are not cut (tested). On the users' machines the route's timeout ends such a stream; a test shows that too.

--- a/src/agent/AnswerCheck.ts
+++ b/src/agent/AnswerCheck.ts
@@ -11,6 +11,8 @@
 export interface CheckedPart {
     /** Part that may be passed on. */
     passed: Buffer;
+    /** The answer has come further: bytes without an event, such as comments that keep a connection open, do not count. */
+    hasProgressed: boolean;
     fault: AnswerFault | undefined;
 }
 
@@ -35,7 +37,7 @@
 export function createFramedCheck(): AnswerCheck {
     return new (class FramedCheck extends AnswerCheck {
         override checkChunk(chunk: Buffer): CheckedPart {
-            return { passed: chunk, fault: undefined };
+            return { passed: chunk, hasProgressed: true, fault: undefined };
         }
 
         override checkEnd(): undefined {
@@ -82,6 +84,7 @@
             const bytes = carry === undefined ? chunk : Buffer.concat([carry, chunk]);
             const parts: Buffer[] = [];
             let start = 0;
+            let hasProgressed = false;
             for (;;) {
                 const end = bytes.indexOf(EVENT_END, start);
                 if (end === -1) {
@@ -89,9 +92,10 @@
                 }
                 const fault = checkEvent(bytes, start, end);
                 if (fault !== undefined) {
-                    return { passed: Buffer.concat(parts), fault };
+                    return { passed: Buffer.concat(parts), hasProgressed, fault };
                 }
                 const next = end + EVENT_END.length;
+                hasProgressed ||= bytes[start] !== COLON;
                 if (!isHiddenUsage(bytes, start, end)) {
                     addEvent(parts, bytes.subarray(start, next));
                 }
@@ -100,9 +104,10 @@
             carry = start < bytes.length ? bytes.subarray(start) : undefined;
             if ((carry?.length ?? 0) > MAX_EVENT_BYTES) {
                 const fault = createFault("an event is too long");
-                return { passed: Buffer.alloc(0), fault };
+                return { passed: Buffer.alloc(0), hasProgressed, fault };
             }
-            return { passed: parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts), fault: undefined };
+            const passed = parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts);
+            return { passed, hasProgressed, fault: undefined };
         }
 
         override checkEnd(): AnswerFault | undefined {
--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -32,7 +32,7 @@
     agent: http.Agent;
     request: EndpointRequest;
     answer: KeptAnswer;
-    /** Longest silence after the first byte, in milliseconds. */
+    /** Longest time without progress after the head of the answer, in milliseconds. */
     stallMs: number;
     onFirstByte: () => void;
 }
@@ -106,12 +106,14 @@
             return;
         }
         const check = createCheck(response);
-        const stallTimer = setTimeout(() => failRun("the endpoint went silent"), options.stallMs);
+        const stallTimer = setTimeout(() => failRun("the answer made no progress"), options.stallMs);
         options.onFirstByte();
         answer.setHead({ status: response.statusCode ?? 0, headers: copyEndToEndHeaders(response.headers) });
         response.on("data", (chunk: Buffer) => {
-            stallTimer.refresh();
             const part = check.checkChunk(chunk);
+            if (part.hasProgressed) {
+                stallTimer.refresh();
+            }
             if (part.passed.length > 0) {
                 answer.addChunk(part.passed);
             }
--- /dev/null
+++ b/tests/agent/EndpointRunTests.ts
@@ -0,0 +1,67 @@
+import http from "node:http";
+import t from "tap";
+import { type EndpointRunEnd, RunResult, startEndpointRun } from "../../src/agent/EndpointRun.js";
+import { createKeptAnswer } from "../../src/agent/KeptAnswer.js";
+import { listenOn } from "../../src/utils/http.js";
+import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
+import type { OwningTest } from "../fixtures.js";
+
+const STALL_MS = 300;
+const SLOW_MS = 200;
+const TRICKLE_MS = 40;
+const EVENTS = 5;
+
+/** Runs a request against an engine, and returns how it ended and how long it took. */
+async function runAgainst(
+    t: OwningTest,
+    answer: (response: http.ServerResponse) => Promise<void>,
+): Promise<{ end: EndpointRunEnd; tookMs: number; body: string }> {
+    const server = http.createServer((request, response) => {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        void answer(response);
+    });
+    const port = await listenOn(server, 0, "127.0.0.1");
+    t.teardown(async () => {
+        server.closeAllConnections();
+        server.close();
+    });
+    const kept = createKeptAnswer();
+    const startedAt = readMonotonicMs();
+    const request = { attempt: "a1", method: "POST", path: "/", headers: {}, body: Buffer.alloc(0) };
+    const run = startEndpointRun({
+        endpointUrl: `http://127.0.0.1:${port}`,
+        agent: new http.Agent(),
+        request: { ...request, wantedFields: new Set() },
+        answer: kept,
+        stallMs: STALL_MS,
+        onFirstByte: () => undefined,
+    });
+    const end = await run.result;
+    return { end, tookMs: readMonotonicMs() - startedAt, body: kept.getBody().toString() };
+}
+
+t.test("a slow stream that makes progress is not cut", async t => {
+    const { end, body } = await runAgainst(t, async response => {
+        for (let event = 0; event < EVENTS; event++) {
+            response.write(`data: {"id":"c","choices":[{"delta":{"content":"${event}"}}]}\n\n`);
+            await waitFor(SLOW_MS);
+        }
+        response.end("data: [DONE]\n\n");
+    });
+    t.equal(end.result, RunResult.Whole);
+    t.equal(body.match(/content/g)?.length, EVENTS);
+});
+
+for (const [name, trickle] of Object.entries({ comments: ": still here\n\n", "single bytes": "x" })) {
+    t.test(`a stalled stream that sends ${name} now and then is ended`, async t => {
+        const { end, tookMs } = await runAgainst(t, async response => {
+            response.write('data: {"id":"c","choices":[{"delta":{"content":"a"}}]}\n\n');
+            while (!response.destroyed) {
+                response.write(trickle);
+                await waitFor(TRICKLE_MS);
+            }
+        });
+        t.equal(end.result, RunResult.Broken);
+        t.ok(tookMs < 2 * STALL_MS + SLOW_MS, `${Math.round(tookMs)} ms`);
+    });
+}
--- a/tests/direct/answersTests.ts
+++ b/tests/direct/answersTests.ts
@@ -170,6 +170,21 @@
     t.equal(answer.status, 504);
 });
 
+t.test("a stalled stream that sends comments now and then ends with its route's timeout", async t => {
+    const system = await startDirectSystem(t, 1);
+    system.endpoints[0]?.setScript((seen, socket, response) => {
+        response.writeHead(200, { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" });
+        response.write("id: 1\ndata: a\n\n");
+        const timer = setInterval(() => response.write(": still here\n\n"), 50);
+        socket.on("close", () => clearInterval(timer));
+    });
+    const startedAt = Date.now();
+    const answer = await callRouter(system, { path: "/advice/1" });
+    const tookMs = Date.now() - startedAt;
+    t.equal(answer.isWhole, false, "a broken connection, not a success");
+    t.ok(tookMs < 2_500, `ended after ${tookMs} ms of a timeout of 2,000 ms`);
+});
+
 t.test("a graceful shutdown completes running requests, closes their connections and ends", async t => {
     const system = await startDirectSystem(t, 1);
     system.endpoints[0]?.setScript((seen, socket) =>
