Use a connection to an endpoint again only if its answers name their request

Cause: agents keep connections to their endpoint open for idempotent requests. An answer that names another request is rejected, but an endpoint that names none could send a second copy of an answer late, on the connection of the next request, and that caller got it as its own.

Evidence: EndpointRunTests, 'a second copy of an answer without an identifier reaches no other caller', failed before (the second request got the first one's answer as whole). With identifiers it passed before, too.

Change: after an answer without an identifier, its connection is closed. Non-idempotent requests and the direct router have a connection each already.

--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -105,6 +105,10 @@
             response.destroy();
             return;
         }
+        if (echoed === undefined) {
+            // A late second copy could not be told from the answer to the next request on the connection.
+            outgoing.shouldKeepAlive = false;
+        }
         const check = createCheck(response);
         const stallTimer = setTimeout(() => failRun("the answer made no progress"), options.stallMs);
         options.onFirstByte();
--- a/tests/agent/EndpointRunTests.ts
+++ b/tests/agent/EndpointRunTests.ts
@@ -1,4 +1,5 @@
 import http from "node:http";
+import net from "node:net";
 import t from "tap";
 import { type EndpointRunEnd, RunResult, startEndpointRun } from "../../src/agent/EndpointRun.js";
 import { createKeptAnswer } from "../../src/agent/KeptAnswer.js";
@@ -65,3 +66,44 @@
         t.ok(tookMs < 2 * STALL_MS + SLOW_MS, `${Math.round(tookMs)} ms`);
     });
 }
+
+for (const hasEcho of [true, false]) {
+    t.test(
+        `a second copy of an answer ${hasEcho ? "with" : "without"} an identifier reaches no other caller`,
+        async t => {
+            const server = net.createServer(socket => {
+                let copy = "";
+                socket.on("error", () => undefined);
+                socket.on("data", bytes => {
+                    const attempt = /x-request-id: (\w+)/i.exec(bytes.toString())?.[1] ?? "";
+                    const echo = hasEcho ? `x-request-id: ${attempt}\r\n` : "";
+                    const answer = `HTTP/1.1 200 OK\r\n${echo}content-length: ${attempt.length}\r\n\r\n${attempt}`;
+                    socket.write(copy + answer);
+                    copy = answer;
+                });
+            });
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+            const agent = new http.Agent({ keepAlive: true });
+            t.teardown(async () => {
+                agent.destroy();
+                server.close();
+            });
+            const { port } = server.address() as net.AddressInfo;
+            for (const attempt of ["first", "second"]) {
+                const answer = createKeptAnswer();
+                const body = Buffer.alloc(0);
+                const run = startEndpointRun({
+                    endpointUrl: `http://127.0.0.1:${port}`,
+                    agent,
+                    request: { attempt, method: "POST", path: "/", headers: {}, body, wantedFields: new Set() },
+                    answer,
+                    stallMs: STALL_MS,
+                    onFirstByte: () => undefined,
+                });
+                const { result } = await run.result;
+                t.ok(result !== RunResult.Whole || answer.getBody().toString() === attempt, `${attempt}: ${result}`);
+                await waitFor(TRICKLE_MS);
+            }
+        },
+    );
+}
