Learn of endpoints from any router that knows more while the store is silent

Cause: while the store is down, every router is on its own: its list is old, so it reads the store itself, and a router that does takes endpoints only from peers with recent news, of which there are none. A router restarted in that time kept the list of the first seed that answered, also if that one had been cut off before: endpoints that had left were in use again, though other peers knew.

Evidence: the new test in peerFallbackTests failed before: the router kept 'left'. Change: while the store is silent, the list of any peer with a higher revision is fetched as soon as it is heard of.

--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -68,9 +68,13 @@
         }
     }
 
-    /** A router of another zone is asked only if there is no news of the own zone, which the reader there gives about as soon. */
+    /**
+     * A router that reads the store, or one of another zone, is asked only while the store is silent: then any peer may know of
+     * changes that this router, perhaps restarted, has missed.
+     */
     function canFetchEndpoints(zone: string): boolean {
-        return !options.isReadingStore() && (zone === options.ownZone || knowledge.getAgeMs() >= PLATFORM_SILENCE_MS);
+        const isSilent = knowledge.getAgeMs() >= PLATFORM_SILENCE_MS;
+        return isSilent || (!options.isReadingStore() && zone === options.ownZone);
     }
 
     async function fetchIfPlatformSilent(): Promise<void> {
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -30,6 +30,7 @@
     peerSnapshot: RouterSnapshot,
     ownRevision: number,
     ownAgeMs = PLATFORM_AGE_MS,
+    peerAgeMs = 0,
 ) {
     const server = http.createServer();
     const port = await listenOn(server, 0, ADDRESS);
@@ -38,7 +39,7 @@
         buildDirectControl(() => peerSnapshot),
         [KEY],
     );
-    const peerMessage = { address: ADDRESS, version: 0, endpointAgeMs: 0 } as GossipMessage;
+    const peerMessage = { address: ADDRESS, version: 0, endpointAgeMs: peerAgeMs } as GossipMessage;
     const directory = createEndpointDirectory({
         lapseGraceMs: 1,
         getStoreUptimeMs: () => 1,
@@ -130,3 +131,30 @@
     await waitFor(PROMPT_MS);
     t.equal(directory.listServing("app").length, 1);
 });
+
+t.test(
+    "a router restarted while the store is down does not keep a stale peer's list when another peer knows more",
+    async t => {
+        const peerSnapshot = {
+            document: undefined,
+            endpoints: [buildRecord("2")],
+            endpointRevision: 7,
+            endpointAgeMs: 6_000,
+        };
+        const { directory, knowledge, fallback } = await startDisconnectedRouter(
+            t,
+            peerSnapshot,
+            5,
+            PLATFORM_AGE_MS,
+            6_000,
+        );
+        directory.applyListing([buildRecord("left"), buildRecord("2")]);
+        fallback.handleMessage(buildMessage({ zone: "b", endpointAgeMs: 6_000, endpointDigest: 1 }));
+        await waitFor(PROMPT_MS);
+        t.strictSame(
+            directory.listServing("app").map(({ id }) => id),
+            ["2"],
+        );
+        t.equal(knowledge.getRevision(), 7);
+    },
+);
