--- a/bench/matrix/runMatrix.ts
+++ b/bench/matrix/runMatrix.ts
@@ -65,6 +65,22 @@
     return results.every(result => result.state !== CellState.Failed);
 }
 
+/** Faults that are tested elsewhere, for the end of the page. */
+const RELATED_TESTS = [
+    "## What operators of similar systems met, and the tests that show it here",
+    "",
+    "- A second copy of an answer, late, on a connection in use again: tests/agent/EndpointRunTests. It could happen with endpoints that",
+    "  name no request in their answers; their connections are not used again. Direct routers use each connection once.",
+    "- A planned stop under load that cuts accepted requests: tests/direct/answersTests (graceful shutdown), and `planned stop` above.",
+    "- Slow but sound streams cut, and stalled ones that send a byte now and then kept: tests/agent/EndpointRunTests. Agents kept the latter;",
+    "  only events count as progress now. Direct routers end them at the route's timeout (tests/direct/answersTests).",
+    "- Work run again, or called not run, after its answer was lost: tests/router/answersTests (lost service answer), and `cut link` above.",
+    "- A truncated answer passed off as complete: tests/direct/answersTests and tests/router/answersTests. A stream that lacked events sent to",
+    "  another caller could; its tokens are counted before the end marker is passed on.",
+    "- An endpoint that had left, or a withdrawn key, in use again after a restart: tests/direct/peerFallbackTests and decisionsTests (lower",
+    "  versions). A router restarted while the store is down could keep a stale peer's list of endpoints; it takes the newest it hears of.",
+];
+
 function formatTable(results: readonly CellResult[]): string {
     const marks = { [CellState.Proved]: "proved", [CellState.NotApplicable]: "n/a", [CellState.Failed]: "NOT PROVED" };
     const rows = FAULTS.map(fault => {
@@ -91,5 +107,7 @@
         "",
         ...notes,
         "",
+        ...RELATED_TESTS,
+        "",
     ].join("\n");
 }
