Exchange endpoints with routers of the version before, too

Cause: the call for another router's knowledge has an input and its answer an age since one router of a zone reads the store. In a fleet that is upgraded router by router, one cut off from the store could neither ask a router of the other version nor use its answer. Evidence: the new test in peerFallbackTests (an answer without an age) failed by the type before; no mixed fleet was played. Change: the input is optional, and an answer without an age counts as 2 s old, which such a router has to be younger than to be asked.

--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -94,8 +94,9 @@
     function choosePeer(): string | undefined {
         const candidates = options.gossip
             .listRecent(MAX_PEER_PLATFORM_AGE_MS)
-            .filter(message => message.endpointAgeMs >= 0 && message.endpointAgeMs < MAX_PEER_PLATFORM_AGE_MS)
-            .sort((left, right) => left.endpointAgeMs - right.endpointAgeMs);
+            .map(message => ({ address: message.address, ageMs: getKnowledgeAge(message) }))
+            .filter(({ ageMs }) => ageMs >= 0 && ageMs < MAX_PEER_PLATFORM_AGE_MS)
+            .sort((left, right) => left.ageMs - right.ageMs);
         if (candidates[0] !== undefined) {
             return `${candidates[0].address}:${options.controlPort}`;
         }
@@ -130,9 +131,10 @@
         // An older snapshot would restore endpoints that have been removed since.
         const isNewer = snapshot.endpointRevision > knowledge.getRevision();
         const isNeeded = !options.isReadingStore() || knowledge.getAgeMs() >= PLATFORM_SILENCE_MS;
-        if (isNewer && isNeeded && snapshot.endpointAgeMs >= 0) {
+        const ageMs = snapshot.endpointAgeMs ?? MAX_PEER_PLATFORM_AGE_MS;
+        if (isNewer && isNeeded && ageMs >= 0) {
             directory.applyListing(snapshot.endpoints, address);
-            knowledge.recordRevision(snapshot.endpointRevision, snapshot.endpointAgeMs);
+            knowledge.recordRevision(snapshot.endpointRevision, ageMs);
         }
     }
 
@@ -145,3 +147,8 @@
         return client;
     }
 }
+
+/** Routers of earlier versions tell only when the store last answered them. */
+function getKnowledgeAge({ endpointAgeMs, platformAgeMs }: GossipMessage): number {
+    return endpointAgeMs >= 0 ? endpointAgeMs : platformAgeMs;
+}
--- a/src/direct/directControl.ts
+++ b/src/direct/directControl.ts
@@ -10,8 +10,11 @@
     endpoints: EndpointRecord[];
     /** Revision of the platform's store up to which the endpoints are known. */
     endpointRevision: number;
-    /** Time since the store confirmed the endpoints, in milliseconds; -1 if it never did. */
-    endpointAgeMs: number;
+    /**
+     * Time since the store confirmed the endpoints, in milliseconds; -1 if it never did. Undefined from routers of earlier
+     * versions, which are asked only while they have recent answers.
+     */
+    endpointAgeMs: number | undefined;
 }
 
 /**
@@ -21,8 +24,9 @@
 export function buildDirectControl(getSnapshot: (version: number) => RouterSnapshot) {
     return buildRouter({
         getKnowledge: processProcedure
-            .input(z.object({ version: z.number().int() }))
-            .query(({ input }) => getSnapshot(input.version)),
+            // Routers of earlier versions call without an input.
+            .input(z.object({ version: z.number().int() }).optional())
+            .query(({ input }) => getSnapshot(input?.version ?? 0)),
     });
 }
 
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -158,3 +158,16 @@
         t.equal(knowledge.getRevision(), 7);
     },
 );
+
+t.test("a router takes the list of a router of an earlier version, which tells no age of it", async t => {
+    const peerSnapshot = {
+        document: undefined,
+        endpoints: [buildRecord("1")],
+        endpointRevision: 7,
+        endpointAgeMs: undefined,
+    };
+    const { directory, knowledge } = await startDisconnectedRouter(t, peerSnapshot, 5);
+    await waitFor(SETTLE_MS);
+    t.equal(directory.listServing("app").length, 1);
+    t.ok(knowledge.getAgeMs() >= 2_000, "it counts as old");
+});
