--- a/tests/direct/storeDutyTests.ts
+++ b/tests/direct/storeDutyTests.ts
@@ -221,6 +221,7 @@
     const before = countCalls();
     await waitFor(SETTLE_MS);
     const reader = countCalls().findIndex((calls, index) => calls > (before[index] ?? 0) + 1);
+    t.ok(reader >= 0, "a router reads the store");
     void systems[reader]?.router.stop();
     await first.writeEndpoint(0, "draining");
     const others = systems.filter((system, index) => index !== reader);
