--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -16,6 +16,8 @@
     refusal: Refusal | undefined;
     /** Monotonic time, in milliseconds. */
     endedAt: number;
+    /** Monotonic time at which the caller closed its side of the connection, in milliseconds. */
+    callerLeftAt: number | undefined;
 }
 
 /** Options of the HTTP server for callers. */
@@ -101,7 +103,7 @@
 
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const { socket } = request;
-        connections.beginRequest(socket);
+        const requestsAhead = connections.beginRequest(socket);
         response.once("close", () => {
             connections.endRequest(socket);
             if (isClosing) {
@@ -125,6 +127,7 @@
         }
         activeRequests++;
         const exchange = openExchange(request, response, index);
+        exchange.requestsAhead = requestsAhead;
         const refusal = await runFilters(exchange);
         exchange.clearDeadline();
         await settleExchange(exchange, refusal);
@@ -183,7 +186,8 @@
             closeAfterUnreadBody(exchange.request, response);
             sendRefusal(response, refusal, undefined, formatFractionalSeconds);
         }
-        options.onSettled({ exchange, refusal, endedAt: readMonotonicMs() });
+        const callerLeftAt = connections.getLeftAt(exchange.request.socket);
+        options.onSettled({ exchange, refusal, endedAt: readMonotonicMs(), callerLeftAt });
         if (response.writableEnded && !response.writableFinished && !response.destroyed) {
             await new Promise<void>(resolve => response.once("close", resolve));
         }
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -42,6 +42,8 @@
     /** Aborted when the caller disconnects or the exchange times out. */
     readonly abortController: AbortController;
     isCallerGone: boolean;
+    /** Number of requests that were in progress on the same connection at arrival. */
+    requestsAhead: number;
     isTimedOut: boolean;
     attempts: ExchangeAttempt[];
     /** Number of stream events passed on to the caller. */
@@ -82,6 +84,7 @@
         body: Buffer.alloc(0),
         abortController: new AbortController(),
         isCallerGone: false,
+        requestsAhead: 0,
         isTimedOut: false,
         attempts: [],
         eventCount: 0,
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -52,6 +52,13 @@
         { name: "auburnpass_first_byte_seconds", help: "Time to the first byte of the answer" },
         ["service", "urgency"],
     );
+    const workAfterLeaving = set.addDurations(
+        {
+            name: "auburnpass_work_after_caller_left_seconds",
+            help: "Time from the caller's leaving to the end of the work for it",
+        },
+        ["route"],
+    );
     const storeCalls = set.addCounter({ name: "auburnpass_store_calls_total", help: "Calls to the store" }, [
         "operation",
         "result",
@@ -64,7 +71,7 @@
     };
 
     function recordSettled(settled: SettledDirectExchange): void {
-        const { exchange, refusal } = settled;
+        const { exchange, refusal, endedAt, callerLeftAt } = settled;
         const urgency = isRouted(exchange) ? String(getUrgency(exchange)) : "";
         const cause = getSettledCause(settled);
         const outcome = refusal?.outcome ?? (isAnswered(cause) ? Outcome.Ran : Outcome.Unknown);
@@ -73,6 +80,9 @@
         for (const { resultKind } of exchange.attempts) {
             sends.addAmount({ service: exchange.service, result: resultKind });
         }
+        if (callerLeftAt !== undefined) {
+            workAfterLeaving.recordDuration({ route: exchange.route?.name ?? NO_ROUTE }, endedAt - callerLeftAt);
+        }
         recordFirstByte(exchange, urgency);
     }
 
--- a/src/direct/SettledLog.ts
+++ b/src/direct/SettledLog.ts
@@ -24,7 +24,7 @@
     return { logSettled };
 
     function logSettled(settled: SettledDirectExchange): void {
-        const { exchange, refusal, endedAt } = settled;
+        const { exchange, refusal, endedAt, callerLeftAt } = settled;
         const cause = getSettledCause(settled);
         const isRoutine = cause === Cause.None && exchange.attempts.length === 1;
         if (
@@ -50,6 +50,8 @@
             firstByteMs:
                 exchange.firstByteAt === undefined ? undefined : Math.round(exchange.firstByteAt - exchange.arrivedAt),
             lastedMs: Math.round(endedAt - exchange.arrivedAt),
+            callerLeftMs: callerLeftAt === undefined ? undefined : Math.round(callerLeftAt - exchange.arrivedAt),
+            requestsAhead: exchange.requestsAhead,
             events: exchange.eventCount,
             longestPauseMs: Math.round(exchange.longestPauseMs),
             sends: exchange.attempts.map(describeAttempt).join("; "),
