GONE: end the work for callers that left while their response has no socket or has pending writes

Callers: requests pipelined on a connection ran on after their caller had left, and so did a stream whose caller had stopped reading and closed its side; endpoints worked for nobody. Cause: a caller's leaving was learned from the response's close event alone. A response that waits for its turn has no socket and emits none; one with pending writes stays open after a half-close. Change: watchDisconnect watches the connection, one listener a connection, for the three servers; a response that is complete is still delivered to a caller that has closed only its own side.

--- a/src/agent/AgentServer.ts
+++ b/src/agent/AgentServer.ts
@@ -13,6 +13,7 @@
 import { type Tracing, endSpan } from "../telemetry/index.js";
 import { isEqualInConstantTime } from "../utils/digest.js";
 import { readWholeBody, sendJson } from "../utils/http.js";
+import { watchDisconnect } from "../utils/watchDisconnect.js";
 import type { AgentCore, AgentRefusal, AttemptRequest } from "./AgentCore.js";
 import type { AttemptRecord } from "./AttemptLedger.js";
 import { AnswerEnd, type AnswerReader } from "./KeptAnswer.js";
@@ -95,7 +96,7 @@
         tracing.writeContext(span, headers);
         Object.assign(attempt.endpoint.headers, headers);
         silent.add(response);
-        response.on("close", () => {
+        watchDisconnect(response, () => {
             silent.delete(response);
             core.releaseAttempt(attempt.id);
         });
@@ -131,7 +132,7 @@
             return;
         }
         silent.add(response);
-        response.on("close", () => {
+        watchDisconnect(response, () => {
             silent.delete(response);
             core.releaseAttempt(id);
         });
@@ -166,7 +167,7 @@
             },
         };
         const removeReader = record.answer.addReader(reader, offset);
-        response.on("close", () => {
+        watchDisconnect(response, () => {
             removeReader();
             core.releaseAttempt(record.id);
         });
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -4,6 +4,7 @@
 import { Cause, Outcome, type Refusal, formatFractionalSeconds, getHeader, sendRefusal } from "../protocol/index.js";
 import { type Filter, runPipeline } from "../router/pipeline.js";
 import { readMonotonicMs } from "../utils/time.js";
+import { watchDisconnect } from "../utils/watchDisconnect.js";
 import { createConnectionList } from "./ConnectionList.js";
 import { type DirectExchange, createDirectExchange } from "./DirectExchange.js";
 import type { HeaderNames } from "./HeaderNames.js";
@@ -148,11 +149,9 @@
         const id = getHeader(request.headers, options.names.attempt) ?? "";
         const exchange = createDirectExchange({ request, response, index, id, callerTimeoutMs });
         exchange.shortenDeadline(exchange.arrivedAt + Math.max(1, callerTimeoutMs - ANSWER_MARGIN_MS));
-        response.on("close", () => {
-            if (!response.writableFinished) {
-                exchange.isCallerGone = true;
-                exchange.abortController.abort();
-            }
+        watchDisconnect(response, () => {
+            exchange.isCallerGone = true;
+            exchange.abortController.abort();
         });
         return exchange;
     }
@@ -189,7 +188,10 @@
         const callerLeftAt = connections.getLeftAt(exchange.request.socket);
         options.onSettled({ exchange, refusal, endedAt: readMonotonicMs(), callerLeftAt });
         if (response.writableEnded && !response.writableFinished && !response.destroyed) {
-            await new Promise<void>(resolve => response.once("close", resolve));
+            await new Promise<void>(resolve => {
+                response.once("close", resolve);
+                watchDisconnect(response, resolve);
+            });
         }
     }
 }
--- a/src/router/filters/execute.ts
+++ b/src/router/filters/execute.ts
@@ -1,4 +1,5 @@
 import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
+import { watchDisconnect } from "../../utils/watchDisconnect.js";
 import { isReadyExchange } from "../Exchange.js";
 import type { RouterContext } from "../RouterContext.js";
 import type { Filter } from "../pipeline.js";
@@ -17,12 +18,10 @@
             return createBug();
         }
         const controller = new AbortController();
-        exchange.response.on("close", () => {
-            if (!exchange.response.writableFinished) {
-                exchange.isCallerDisconnected = true;
-                if (exchange.target.isIdempotent) {
-                    controller.abort();
-                }
+        watchDisconnect(exchange.response, () => {
+            exchange.isCallerDisconnected = true;
+            if (exchange.target.isIdempotent) {
+                controller.abort();
             }
         });
         return exchange.target.isIdempotent
