Run a pipelined request only when its turn to be answered has come

Callers: in a planned stop every answer closes its connection; a request pipelined behind it had been sent to an endpoint already, ran, and its answer reached nobody (a booking, too). Cause: Node.js hands over pipelined requests at once, and the routers ran them side by side. Change: both routers wait until the earlier responses of the connection are complete; a request that times out meanwhile is refused as not run, and one whose connection ends is not run at all.

--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -30,7 +30,7 @@
     result: SendResult,
 ): Refusal | undefined {
     if (exchange.isTimedOut) {
-        return createTimeoutRefusal(state);
+        return createTimeoutRefusal(state.mayHaveRun);
     }
     if (result === SendResult.Unreachable) {
         return state.connectionFailures > MAX_CONNECTION_FAILURES
@@ -106,9 +106,13 @@
         : { ...refusal, retryAfterMs: outageDelayMs };
 }
 
-function createTimeoutRefusal(state: RetryState): Refusal {
-    const status = state.mayHaveRun ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE;
-    const outcome = state.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+/**
+ * Creates the refusal of a request that timed out.
+ * @param mayHaveRun - Whether an endpoint may have run the request.
+ */
+export function createTimeoutRefusal(mayHaveRun: boolean): Refusal {
+    const status = mayHaveRun ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE;
+    const outcome = mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
     return {
         status,
         outcome,
--- a/src/direct/filters/runRequest.ts
+++ b/src/direct/filters/runRequest.ts
@@ -1,6 +1,8 @@
 import { readMonotonicMs } from "../../utils/time.js";
+import { waitForTurn } from "../../utils/waitForTurn.js";
 import type { Filter } from "../../router/pipeline.js";
 import { runAttempts } from "../AttemptLoop.js";
+import { createTimeoutRefusal } from "../attemptRefusals.js";
 import type { DirectContext } from "../DirectContext.js";
 import { type DirectExchange, type RoutedExchange, isRouted } from "../DirectExchange.js";
 import { RouteKind } from "../RoutingDocument.js";
@@ -12,11 +14,14 @@
  * @param context - Shared components of the router.
  */
 export function createRunRequest(context: DirectContext): Filter<DirectExchange> {
-    return exchange => {
+    return async exchange => {
         if (!isRouted(exchange)) {
             throw new Error("expected an exchange with a route");
         }
         context.retries.recordRequest(exchange.service);
+        if (!(await waitForTurn(exchange.response, exchange.abortController.signal))) {
+            return exchange.isCallerGone ? undefined : createTimeoutRefusal(false);
+        }
         const isStream = exchange.route.kind === RouteKind.Stream;
         const relay = isStream
             ? createStreamRelay(exchange, context.names.lastEvent, pauseMs => recordPause(exchange, pauseMs))
--- a/src/router/filters/execute.ts
+++ b/src/router/filters/execute.ts
@@ -1,4 +1,5 @@
 import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
+import { waitForTurn } from "../../utils/waitForTurn.js";
 import { watchDisconnect } from "../../utils/watchDisconnect.js";
 import { isReadyExchange } from "../Exchange.js";
 import type { RouterContext } from "../RouterContext.js";
@@ -24,6 +25,9 @@
                 controller.abort();
             }
         });
+        if (!(await waitForTurn(exchange.response))) {
+            return undefined;
+        }
         return exchange.target.isIdempotent
             ? runRepeatable(context, exchange, controller.signal)
             : runOnce(context, exchange, controller.signal);
--- a/tests/direct/disconnectTests.ts
+++ b/tests/direct/disconnectTests.ts
@@ -142,3 +142,16 @@
         attempts,
     );
 });
+
+t.test("a request that times out behind a pipelined one is refused as not run", async t => {
+    const system = await startDirectSystem(t, 2);
+    const requests = runRequests(system, 600);
+    const caller = await connectCaller(t, system);
+    let received = "";
+    caller.on("data", (chunk: Buffer) => (received += chunk.toString("utf8")));
+    const hasty = buildRequest("/book/2", "a-2").replace("deadline-ms: 8000", "deadline-ms: 200");
+    caller.write(buildRequest("/book/1", "a-1") + hasty);
+    await waitUntil(() => received.includes("timed-out"));
+    t.match(received, /answer a-1[^]*HTTP\/1.1 503[^]*timed-out/);
+    t.strictSame(requests.started, ["a-1"]);
+});
