--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -1,5 +1,6 @@
 import { Cause, type Refusal } from "../protocol/index.js";
 import { MAX_LOSSES } from "../scheduling/index.js";
+import { EventId } from "../telemetry/index.js";
 import { computeDigest } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RetryState, SendResult } from "./RetryState.js";
@@ -15,7 +16,7 @@
     prolongRetryDelay,
 } from "./attemptRefusals.js";
 import { chooseEndpoint } from "./chooseEndpoint.js";
-import { probeConnection } from "./probeConnection.js";
+import { ProbeResult, probeConnection } from "./probeConnection.js";
 import type { ResponseRelay } from "./relay/ResponseRelay.js";
 import { sendToEndpoint } from "./sendToEndpoint.js";
 
@@ -60,7 +61,7 @@
             return undefined;
         }
         if (result === SendResult.Incomplete) {
-            await recordEndpointLoss(next.endpoint, context, state, getDigest);
+            await recordEndpointLoss(exchange, next.endpoint, context, state, getDigest);
         }
         const refusal = checkRetry(exchange, context, state, result);
         if (refusal !== undefined) {
@@ -111,6 +112,7 @@
 
 /** Records that an endpoint may have crashed because of the request, if it no longer accepts connections. */
 async function recordEndpointLoss(
+    exchange: RoutedExchange,
     endpoint: EndpointRecord,
     context: DirectContext,
     state: RetryState,
@@ -119,10 +121,20 @@
     if (state.lastFailure === CallFailure.Cancelled || state.lastFailure === CallFailure.Mismatched) {
         return;
     }
-    if (!(await probeConnection(endpoint.host, endpoint.port))) {
-        context.health.recordUnreachable(endpoint.id, readMonotonicMs());
-        context.suspects.recordLoss(getDigest(), readMonotonicMs());
+    const probe = await probeConnection(endpoint.host, endpoint.port);
+    if (probe === ProbeResult.Listening) {
+        return;
     }
+    context.health.recordUnreachable(endpoint.id, readMonotonicMs());
+    context.suspects.recordLoss(getDigest(), readMonotonicMs());
+    context.logger.logEvent(EventId.RequestSuspected, {
+        attempt: exchange.id,
+        team: exchange.team?.name,
+        endpoint: endpoint.id,
+        probe,
+        events: exchange.eventCount,
+        parts: context.getSharedParts(exchange.request.headers).join(","),
+    });
 }
 
 function createLazyDigest(exchange: RoutedExchange): () => string {
--- a/src/direct/DirectCodec.ts
+++ b/src/direct/DirectCodec.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from "node:http";
 import type { KeyValueEntry } from "../platform/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { RoutingDocument } from "./RoutingDocument.js";
@@ -5,7 +6,7 @@
 /** A decoded value, or a description of why decoding failed. */
 export type DecodeResult<T> = { value: T } | { problem: string };
 
-/** Decodes the entries of the platform's key-value service. */
+/** Decodes the entries of the platform's key-value service, and headers whose values have a format of the platform. */
 export abstract class DirectCodec {
     /** Key prefix of the routing document. */
     abstract readonly documentPrefix: string;
@@ -17,4 +18,6 @@
     abstract decodeEndpoint(entry: KeyValueEntry): DecodeResult<EndpointRecord>;
     /** Extracts an endpoint's identifier from its key. */
     abstract getEndpointId(key: string): string;
+    /** Extracts the identifiers of the parts of a request's prompt that other requests may share, in order. */
+    abstract decodeSharedParts(headers: IncomingHttpHeaders): string[];
 }
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from "node:http";
 import type { OutageDetector, ConcurrencyLimiter, SuspectTable } from "../scheduling/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
@@ -21,6 +22,8 @@
     pace: ConcurrencyLimiter;
     admission: StreamAdmission;
     logger: Logger;
+    /** Extracts the parts of a request's prompt that other requests may share. */
+    getSharedParts: (headers: IncomingHttpHeaders) => string[];
     /** Time since the endpoint list was last updated from the platform or a peer, in milliseconds. */
     getEndpointAgeMs: () => number;
     /** Draws a random number in the interval from 0 to 1. */
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -55,14 +55,14 @@
     platform: DirectPlatform,
     logger: Logger,
 ): Promise<RunningProgram> {
-    const { codec, names } = platform;
+    const { codec } = platform;
     let isDraining = false;
     let stopping: Promise<void> | undefined;
     const holder = createRouteIndexHolder((document, source) => {
         callers.applyLimits(document.limits);
         logger.logEvent(EventId.DocumentApplied, { version: document.version, source, routes: document.routes.length });
     });
-    const context = createContext(settings, names, logger, {
+    const context = createContext(settings, platform, logger, {
         getPeakRouterCount: () => knowledge.getPeakRouterCount(),
         getEndpointAgeMs: () => knowledge.getEndpointAgeMs(),
         getStoreUptimeMs: () => knowledge.getStoreUptimeMs(),
@@ -113,7 +113,7 @@
 
 function createContext(
     settings: DirectSettings,
-    names: HeaderNames,
+    { names, codec }: Pick<DirectPlatform, "names" | "codec">,
     logger: Logger,
     knowledge: Pick<ClusterView, "getPeakRouterCount" | "getEndpointAgeMs" | "getStoreUptimeMs">,
 ): DirectContext {
@@ -142,6 +142,7 @@
         suspects: createSuspectTable(),
         outages: createOutageDetector(),
         logger,
+        getSharedParts: headers => codec.decodeSharedParts(headers),
         getEndpointAgeMs: knowledge.getEndpointAgeMs,
         drawRandom: Math.random,
     };
