A stream that ends inside an event has been broken off

Callers: a stream whose connection ended normally inside an event reached them as complete. Cause: the relay went by the framing alone, and sent the unfinished event as the last bytes. Evidence: answersTests, 'a stream with neither a length nor chunks that ends inside an event', and the same with chunks, failed: whole, with half an event. Change: the relay ends such a stream as incomplete, so it is continued at another endpoint or its connection is broken; comments and empty lines at the end belong to no event. After: both pass.

--- a/src/direct/EventSplitter.ts
+++ b/src/direct/EventSplitter.ts
@@ -17,11 +17,15 @@
     addChunk(chunk: Buffer): CompleteEvents | undefined;
     /** Gets the bytes received after the last complete event. */
     getRemainder(): Buffer;
+    /** Returns whether an event has begun that is not complete; comments and empty lines belong to no event. */
+    isInsideEvent(): boolean;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/g;
+/** Line of an event, in contrast to a comment or an empty line. */
+const EVENT_LINE = /(?:^|\n)[^:\r\n]/;
 /** Maximum size of the data between two new event identifiers, in bytes; far above the size of usual events. */
 const MAX_BYTES_WITHOUT_NEW_ID = 65_536;
 
@@ -32,7 +36,8 @@
     let pendingBytes = 0;
     let lastId: string | undefined;
     let bytesSinceNewId = 0;
-    return { addChunk, getRemainder: () => Buffer.concat(pending) };
+    const getRemainder = (): Buffer => Buffer.concat(pending);
+    return { addChunk, getRemainder, isInsideEvent: () => EVENT_LINE.test(getRemainder().toString("latin1")) };
 
     function addChunk(chunk: Buffer): CompleteEvents | undefined {
         const { end, count } = scanner.findLastBoundary(chunk);
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -63,7 +63,9 @@
             let isFinished = false;
             let hasEvents = false;
             upstream.on("data", (chunk: Buffer) => relayChunk(chunk));
-            upstream.on("end", () => finish(upstream.complete && !endpointResponse.isTruncated()));
+            upstream.on("end", () =>
+                finish(upstream.complete && !endpointResponse.isTruncated() && !splitter.isInsideEvent()),
+            );
             upstream.on("close", () => finish(false));
             response.on("close", () => finish(false));
             response.on("drain", resume);
--- a/tests/direct/answersTests.ts
+++ b/tests/direct/answersTests.ts
@@ -137,6 +137,37 @@
     t.ok(answer.isWhole);
 });
 
+for (const [framing, headers, encode, end] of [
+    ["neither a length nor chunks", "", (text: string) => text, ""],
+    ["chunks", "Transfer-Encoding: chunked\r\n", encodeChunk, "0\r\n\r\n"],
+] as const) {
+    t.test(`a stream with ${framing} that ends inside an event has been broken off`, async t => {
+        const system = await startDirectSystem(t);
+        let calls = 0;
+        let isEndless = false;
+        for (const endpoint of system.endpoints) {
+            endpoint.setScript((seen, socket) => {
+                calls++;
+                const head = buildHead(seen, `Content-Type: text/event-stream\r\n${headers}`);
+                const next = Number(seen.headers["last-event-id"] ?? 0) + 1;
+                const isCut = isEndless || calls === 1;
+                socket.end(head + encode(isCut ? `${buildEvents(1, 3)}id: 4\ndata: 4` : buildEvents(next, 6)) + end);
+            });
+        }
+        const resumed = await callRouter(system, { method: "POST", path: "/advice/1", body: "question" });
+        t.equal(resumed.body, buildEvents(1, 6));
+        t.ok(resumed.isWhole);
+        isEndless = true;
+        const broken = await callRouter(system, { method: "POST", path: "/advice/1", body: "question" });
+        t.notOk(broken.isWhole, "the caller sees that the rest is missing");
+        t.notMatch(broken.body, /data: 4/);
+    });
+}
+
+function encodeChunk(text: string): string {
+    return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
 t.test("a stream that cannot be resumed ends with a broken connection", async t => {
     const system = await startDirectSystem(t);
     system.endpoints.forEach(endpoint =>
