Quarantine: count a crash that several routers saw once, and let routers forget cleared parts

Routers that told each other of a cleared part recreated it for good, and raised its generation with each datagram. Evidence: PartQuarantineTests, 'routers that tell each other of a part forget it in the end'. Change: a report without a recent crash creates no entry, an entry's age is that of its last crash, and a crash is known by its endpoint within 10 s. The schema of a report stands alone, for both kinds of routers; a gauge counts refused parts.

--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -24,6 +24,8 @@
     countRouters(): number;
     /** Time since the store confirmed the endpoints to this router or a peer, in milliseconds. */
     getStoreAgeMs(): number;
+    /** Counts the parts of prompts with which requests are refused. */
+    countRefusedParts(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
 }
@@ -103,6 +105,10 @@
     );
     set.addGauge({ name: "auburnpass_known_endpoints", help: "Endpoints known" }, () => state.countEndpoints());
     set.addGauge({ name: "auburnpass_known_routers", help: "Routers known" }, () => state.countRouters());
+    set.addGauge(
+        { name: "auburnpass_refused_parts", help: "Parts of prompts that crashed endpoints and are refused" },
+        () => state.countRefusedParts(),
+    );
     set.addGauge(
         { name: "auburnpass_store_age_seconds", help: "Time since the store last confirmed the endpoints" },
         () => state.getStoreAgeMs() / MS_PER_SECOND,
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -77,6 +77,7 @@
         countActiveRequests: () => callers.countActiveRequests(),
         getDocumentVersion: () => holder.getVersion(),
         countEndpoints: () => context.directory.countRecords(),
+        countRefusedParts: () => context.quarantine.countRefused(),
         countRouters: () => knowledge.getPeakRouterCount(),
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
         isReadingStore: () => knowledge.isReadingStore(),
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -1,5 +1,6 @@
 import dgram from "node:dgram";
 import { z } from "zod";
+import { partReportSchema } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
@@ -27,17 +28,7 @@
     /** Digests of requests during which endpoints were lost. */
     suspects: z.array(z.object({ digest: z.string(), losses: z.number().int(), generation: z.number().int() })),
     /** Parts of prompts that are suspected of crashing endpoints, or were so lately. */
-    parts: z
-        .array(
-            z.object({
-                part: z.string(),
-                generation: z.number().int(),
-                isProven: z.boolean(),
-                crashes: z.array(z.object({ endpoint: z.string(), ageMs: z.number() })),
-                trialMs: z.number(),
-            }),
-        )
-        .default([]),
+    parts: z.array(partReportSchema).default([]),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
     routers: z.array(z.ipv4()),
     /** Zones of these routers, in the same order. */
--- a/src/scheduling/PartQuarantine.ts
+++ b/src/scheduling/PartQuarantine.ts
@@ -1,3 +1,5 @@
+import type { PartReport } from "./PartReport.js";
+
 /** Decision about a request with regard to the parts of its prompt. */
 export enum PartDecision {
     /** Nothing speaks against sending the request. */
@@ -20,25 +22,6 @@
     Refused = "refused",
 }
 
-/** Crash of an endpoint under a request with a part. */
-export interface PartCrash {
-    endpoint: string;
-    /** Time since the crash, in milliseconds. */
-    ageMs: number;
-}
-
-/** What a router knows of a part that is suspected or was so lately. */
-export interface PartReport {
-    part: string;
-    /** Incremented when a request with the part was answered; on a merge, the higher generation wins. */
-    generation: number;
-    /** Requests with the part were answered before the crashes. */
-    isProven: boolean;
-    crashes: PartCrash[];
-    /** Remaining time for which no other trial may begin, in milliseconds. */
-    trialMs: number;
-}
-
 /**
  * Parts of prompts that are suspected of crashing the endpoints that begin to answer them, replicated between routers. It
  * answers a load of requests of which no two are alike, and which share the part that crashes endpoints, while their other
@@ -61,6 +44,8 @@
     /** Merges the reports of another router. */
     mergeReports(reports: readonly PartReport[], now: number): void;
     listReports(now: number): PartReport[];
+    /** Counts the parts with which requests are refused. */
+    countRefused(): number;
 }
 
 /** Options of the quarantine. */
@@ -75,6 +60,8 @@
 const REFUSAL_CRASHES = 2;
 /** Crashes that are not held against a part which was answered lately: it is rarely the cause. */
 const PROVEN_ALLOWANCE = 1;
+/** Crashes of one endpoint within this time are one crash that several routers saw, in milliseconds. */
+const SAME_CRASH_MS = 10_000;
 /** Crashes within this time count as one: endpoints that fail together have another cause in common. */
 const SIMULTANEOUS_MS = 200;
 /** Time for which an answer proves a part, in milliseconds. */
@@ -86,7 +73,7 @@
 /** Time from the crash that made a part refused to its next trial, in milliseconds; it grows with each further crash. */
 const FIRST_RETRIAL_MS = 30_000;
 const RETRIAL_GROWTH = 4;
-/** Time after which a part without further crashes is forgotten, in milliseconds. */
+/** Time after its last crash when a part is forgotten, in milliseconds. */
 const RETENTION_MS = 6 * 3_600_000;
 /** Time for which other routers are told that a part is sound, in milliseconds. */
 const CLEARED_RETENTION_MS = 30_000;
@@ -98,8 +85,8 @@
 interface PartEntry {
     generation: number;
     isProven: boolean;
-    /** Monotonic times of the crashes, by endpoint. */
-    crashes: Map<string, number>;
+    /** Crashes with their monotonic times, in milliseconds. */
+    crashes: { endpoint: string; at: number }[];
     /** Monotonic time until which no other trial may begin, in milliseconds. */
     trialUntil: number;
     /** The trial is this router's, which tells the others of it. */
@@ -114,7 +101,16 @@
 export function createPartQuarantine(options: PartQuarantineOptions): PartQuarantine {
     const entries = new Map<string, PartEntry>();
     const answeredAt = new Map<string, number>();
-    return { checkParts, startTrial, endTrial, recordAnswer, recordCrash, mergeReports, listReports };
+    return {
+        checkParts,
+        startTrial,
+        endTrial,
+        recordAnswer,
+        recordCrash,
+        mergeReports,
+        listReports,
+        countRefused: () => [...entries.values()].filter(entry => getStatus(entry) === PartStatus.Refused).length,
+    };
 
     function checkParts(parts: readonly string[], now: number): PartDecision {
         if (entries.size === 0) {
@@ -152,7 +148,7 @@
             answeredAt.delete(part);
             answeredAt.set(part, now);
             const entry = entries.get(part);
-            if (entry !== undefined && entry.crashes.size > 0) {
+            if (entry !== undefined && entry.crashes.length > 0) {
                 changeEntry(part, entry, () => clearEntry(entry, entry.generation + 1, now));
                 options.announce();
             }
@@ -161,10 +157,13 @@
     }
 
     function recordCrash(parts: readonly string[], endpoint: string, now: number): void {
+        if (parts.length === 0) {
+            return;
+        }
         // Parts that were suspected before this crash explain it, so the others are not suspected because of it.
         const explaining = parts.filter(part => {
             const entry = entries.get(part);
-            return entry !== undefined && isSuspected(entry) && !entry.crashes.has(endpoint);
+            return entry !== undefined && isSuspected(entry) && !hasCrash(entry, endpoint, now);
         });
         for (const part of explaining.length > 0 ? explaining : parts) {
             const entry = getEntry(part, now);
@@ -176,6 +175,11 @@
 
     function mergeReports(reports: readonly PartReport[], now: number): void {
         for (const report of reports) {
+            // Nothing is taken over that is about to be forgotten, or routers would remind each other of it for good.
+            const isRecent = report.crashes.some(({ ageMs }) => ageMs < RETENTION_MS);
+            if (!entries.has(report.part) && !isRecent) {
+                continue;
+            }
             const entry = getEntry(report.part, now);
             if (report.generation >= entry.generation) {
                 changeEntry(report.part, entry, () => mergeReport(entry, report, now));
@@ -193,16 +197,19 @@
             entry.trialUntil = Math.max(entry.trialUntil, now + report.trialMs);
         }
         report.crashes.forEach(({ endpoint, ageMs }) => addCrash(entry, endpoint, now - ageMs, now));
-        const lastCrashAt = Math.max(...entry.crashes.values());
-        if ((answeredAt.get(report.part) ?? Number.NEGATIVE_INFINITY) > lastCrashAt) {
+        const provenAt = answeredAt.get(report.part) ?? Number.NEGATIVE_INFINITY;
+        if (entry.crashes.length > 0 && provenAt > getLastCrashAt(entry)) {
             clearEntry(entry, entry.generation + 1, now);
         }
     }
 
     function listReports(now: number): PartReport[] {
         for (const [part, entry] of entries) {
-            const retentionMs = entry.crashes.size === 0 ? CLEARED_RETENTION_MS : RETENTION_MS;
-            if (now - entry.changedAt > retentionMs) {
+            const isOutdated =
+                entry.crashes.length === 0
+                    ? now - entry.changedAt > CLEARED_RETENTION_MS
+                    : now - getLastCrashAt(entry) > RETENTION_MS;
+            if (isOutdated) {
                 entries.delete(part);
             }
         }
@@ -213,7 +220,7 @@
                 part,
                 generation,
                 isProven,
-                crashes: [...crashes].map(([endpoint, at]) => ({ endpoint, ageMs: Math.round(now - at) })),
+                crashes: crashes.map(({ endpoint, at }) => ({ endpoint, ageMs: Math.round(now - at) })),
                 trialMs: isOwnTrial ? Math.max(0, Math.round(trialUntil - now)) : 0,
             }));
     }
@@ -228,7 +235,7 @@
         change();
         const after = getStatus(entry);
         if (after !== before) {
-            options.onStatus(part, after, entry.crashes.size);
+            options.onStatus(part, after, entry.crashes.length);
         }
     }
 
@@ -237,7 +244,7 @@
         if (entry === undefined) {
             const isProven = now - (answeredAt.get(part) ?? Number.NEGATIVE_INFINITY) < PROOF_MS;
             const trialUntil = Number.NEGATIVE_INFINITY;
-            entry = { generation: 0, isProven, crashes: new Map(), trialUntil, isOwnTrial: false, changedAt: now };
+            entry = { generation: 0, isProven, crashes: [], trialUntil, isOwnTrial: false, changedAt: now };
             entries.set(part, entry);
         }
         return entry;
@@ -245,7 +252,7 @@
 }
 
 function clearEntry(entry: PartEntry, generation: number, now: number): void {
-    entry.crashes.clear();
+    entry.crashes = [];
     entry.generation = generation;
     entry.isProven = true;
     entry.changedAt = now;
@@ -258,13 +265,20 @@
 }
 
 function addCrash(entry: PartEntry, endpoint: string, at: number, now: number): void {
-    if (!entry.crashes.has(endpoint)) {
-        entry.crashes.set(endpoint, at);
+    if (!hasCrash(entry, endpoint, at)) {
+        entry.crashes = [...entry.crashes, { endpoint, at }].slice(-MAX_CRASHES);
         entry.changedAt = now;
-        dropOldest(entry.crashes, MAX_CRASHES);
     }
 }
 
+function hasCrash(entry: PartEntry, endpoint: string, at: number): boolean {
+    return entry.crashes.some(crash => crash.endpoint === endpoint && Math.abs(crash.at - at) < SAME_CRASH_MS);
+}
+
+function getLastCrashAt(entry: PartEntry): number {
+    return Math.max(...entry.crashes.map(({ at }) => at));
+}
+
 function isSuspected(entry: PartEntry): boolean {
     return getStatus(entry) !== PartStatus.Clear;
 }
@@ -281,7 +295,7 @@
 function countCrashes(entry: PartEntry): number {
     let count = 0;
     let lastAt = Number.NEGATIVE_INFINITY;
-    for (const at of [...entry.crashes.values()].sort((left, right) => left - right)) {
+    for (const { at } of [...entry.crashes].sort((left, right) => left.at - right.at)) {
         if (at - lastAt >= SIMULTANEOUS_MS) {
             count++;
             lastAt = at;
@@ -292,10 +306,9 @@
 
 /** Computes the monotonic time from which a suspected part may be tried, in milliseconds. */
 function computeTrialAt(entry: PartEntry): number {
-    const lastCrashAt = Math.max(...entry.crashes.values());
     const furtherCrashes = countCrashes(entry) - REFUSAL_CRASHES;
     const delayMs = furtherCrashes < 0 ? FIRST_TRIAL_MS : FIRST_RETRIAL_MS * RETRIAL_GROWTH ** furtherCrashes;
-    return lastCrashAt + delayMs;
+    return getLastCrashAt(entry) + delayMs;
 }
 
 /** Removes the entries that were added first, down to a number. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -5,6 +5,7 @@
 export * from "./FairTeamQueue.js";
 export * from "./EndpointSelector.js";
 export * from "./PartQuarantine.js";
+export * from "./PartReport.js";
 export * from "./RetryBudget.js";
 export * from "./SuspectTable.js";
 export * from "./TeamUsage.js";
--- a/tests/scheduling/PartQuarantineTests.ts
+++ b/tests/scheduling/PartQuarantineTests.ts
@@ -167,3 +167,29 @@
     t.equal(second.checkParts(["new"], 8 * SECOND_MS), PartDecision.Allowed, "an older report does not bring it back");
     t.end();
 });
+
+t.test("routers that tell each other of a part forget it in the end", t => {
+    const [first, second] = [createTested(), createTested()];
+    const exchange = (now: number): number => {
+        second.mergeReports(first.listReports(now), now);
+        first.mergeReports(second.listReports(now), now);
+        return first.listReports(now).length + second.listReports(now).length;
+    };
+    first.recordCrash(["new"], "e1", 0);
+    first.recordCrash(["dead"], "e2", 0);
+    exchange(100);
+    second.recordAnswer(["new"], 2 * SECOND_MS);
+    exchange(3 * SECOND_MS);
+    const [report] = first.listReports(3 * SECOND_MS).filter(({ part }) => part === "new");
+    t.match(report, { generation: 1, crashes: [] });
+    let known = 0;
+    for (let now = 4 * SECOND_MS; now < HOUR_MS / 60; now += SECOND_MS) {
+        known = exchange(now);
+    }
+    t.equal(known, 2, "the part that crashed an endpoint, at both");
+    for (let now = HOUR_MS; now < 7 * HOUR_MS; now += 60 * SECOND_MS) {
+        known = exchange(now);
+    }
+    t.equal(known, 0);
+    t.end();
+});
