Routers with agents: refuse the message that crashes engines, after its second crash

Evidence: faultsTests, 'messages that crash engines crash at most two, in requests of which no two are alike', failed with 4 of 4 engines crashed and sound requests of the team refused; now at most 2, and all sound ones served. Change: the messages before the last are the shared parts; CrashGuard asks the same quarantine, trials run isolated, and the exchange between routers carries the reports.

--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -4,6 +4,8 @@
 export interface ChatOptions {
     url: string;
     key: string;
+    /** Message before the user's. */
+    system?: string;
     text: string;
     model?: string;
     purpose?: string;
@@ -34,7 +36,10 @@
 export function sendChat(options: ChatOptions): Promise<HttpAnswer> {
     const body = JSON.stringify({
         model: options.model ?? "assist-lm",
-        messages: [{ role: "user", content: options.text }],
+        messages: [
+            ...(options.system === undefined ? [] : [{ role: "system", content: options.system }]),
+            { role: "user", content: options.text },
+        ],
         max_tokens: options.tokens ?? 8,
         stream: options.isStream ?? false,
     });
--- a/src/membership/PeerExchange.ts
+++ b/src/membership/PeerExchange.ts
@@ -15,6 +15,7 @@
     table: EndpointTable;
     getDocumentVersion: () => number;
     listSuspects: () => PeerMessage["suspects"];
+    listPartReports: () => PeerMessage["parts"];
     onDocument: (stored: StoredDocument, from: string) => void;
     /** Called at each tick for a zone none of whose routers answers. */
     onZoneSilent: (zone: string) => void;
@@ -114,6 +115,7 @@
             documentVersion: options.getDocumentVersion(),
             facts: changes.facts,
             suspects: options.listSuspects(),
+            parts: options.listPartReports(),
         };
         try {
             const answer = await link.client.call(
--- a/src/router/Exchange.ts
+++ b/src/router/Exchange.ts
@@ -21,6 +21,8 @@
     cost: number;
     /** Hash of the leading part of the prompt. */
     prefixHash: number | undefined;
+    /** Digests of the messages before the last one, which other requests may share. */
+    sharedParts: string[];
 }
 
 /** Request and its state while it passes through the filters. */
--- a/src/router/RouterContext.ts
+++ b/src/router/RouterContext.ts
@@ -1,7 +1,7 @@
 import type { IncidentKind } from "../account/index.js";
 import type { HandoverStore } from "../agent/Handover.js";
 import type { EndpointTable } from "../membership/index.js";
-import type { EndpointSelector, RetryBudget, SuspectTable } from "../scheduling/index.js";
+import type { EndpointSelector, PartQuarantine, RetryBudget, SuspectTable } from "../scheduling/index.js";
 import type { Logger, Metrics, Tracing } from "../telemetry/index.js";
 import type { AgentConnections } from "./attempts/AgentConnections.js";
 import type { StallDetector } from "./attempts/StallDetector.js";
@@ -20,6 +20,7 @@
     claims: ClaimStore;
     handovers: HandoverStore;
     suspects: SuspectTable;
+    quarantine: PartQuarantine;
     /** Sends the suspected requests to all routers, before such a request is retried or refused. */
     broadcastSuspects: () => Promise<void>;
     /** Records an incident in the account. */
--- a/src/router/attempts/StreamSink.ts
+++ b/src/router/attempts/StreamSink.ts
@@ -14,19 +14,26 @@
     fail(refusal: Refusal, traceId: string): void;
 }
 
+/** Options of a sink for a stream. */
+export interface StreamSinkOptions extends SinkOptions {
+    /** Called when the first event of an attempt's answer has arrived. */
+    onFirstEvent: () => void;
+}
+
 const EVENT_END = Buffer.from("\n\n");
 const LINE_FEED = 10;
 const MAX_RECORDED_BYTES = 4 * 1024 * 1024;
 
 /**
  * Creates a sink for event streams.
- * @param options - Response and first-byte listener.
+ * @param options - Response and listeners.
  */
-export function createStreamSink(options: SinkOptions): StreamSink {
+export function createStreamSink(options: StreamSinkOptions): StreamSink {
     const { response } = options;
     const forwardedEvents = createByteLog();
     let partialEvent: Buffer | undefined;
     let isStarted = false;
+    let hasEvents = false;
     let receivedBytes = 0;
     let idPrefix = "";
 
@@ -45,6 +52,10 @@
             if (events === undefined) {
                 return true;
             }
+            if (!hasEvents) {
+                hasEvents = true;
+                options.onFirstEvent();
+            }
             const rewrittenEvents = idPrefix === "" ? events : replaceIdentifiers(events, idPrefix);
             recordEvents(rewrittenEvents);
             return response.write(rewrittenEvents);
@@ -70,6 +81,7 @@
         startResumption(): StreamProgress {
             partialEvent = undefined;
             receivedBytes = 0;
+            hasEvents = false;
             const progress = readProgress(forwardedEvents.readFrom(0));
             idPrefix = progress.idPrefix;
             return progress;
--- a/src/router/filters/classify.ts
+++ b/src/router/filters/classify.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import { EndpointKind, WorkRank } from "../../config/index.js";
 import { Cause, EventField, Outcome, type Refusal, getHeader } from "../../protocol/index.js";
-import { computeHash32 } from "../../utils/digest.js";
+import { computeDigest, computeHash32 } from "../../utils/digest.js";
 import type { CallTarget, Exchange } from "../Exchange.js";
 import type { Filter } from "../pipeline.js";
 
@@ -13,6 +13,9 @@
 const CHARS_PER_COST = 64;
 const PREFIX_CHARS = 256;
 const MAX_KEY_LENGTH = 255;
+/** Messages from the beginning of a conversation that are told apart; the system's instructions are the first. */
+const MAX_SHARED_PARTS = 8;
+const PART_DIGEST_LENGTH = 16;
 
 /** Priority that the engine gets for each rank of work; lower goes first. */
 const ENGINE_PRIORITIES: Record<WorkRank, number> = {
@@ -76,6 +79,7 @@
         rank: call.rank,
         cost: 1,
         prefixHash: undefined,
+        sharedParts: [],
     };
     return undefined;
 }
@@ -127,9 +131,16 @@
         rank: exchange.index.chooseRank({ team: exchange.team?.name ?? "", model: body.model, purpose }),
         cost: (body.max_tokens ?? DEFAULT_TOKENS) + prompt.length / CHARS_PER_COST,
         prefixHash: computeHash32(prompt.slice(0, PREFIX_CHARS)),
+        sharedParts: computeSharedParts(body),
     };
 }
 
+/** Each digest is that of a message for its model, as an engine crashes on its own account. */
+function computeSharedParts({ model, messages = [] }: ModelBody): string[] {
+    const shared = messages.slice(0, -1).slice(0, MAX_SHARED_PARTS);
+    return shared.map(message => computeDigest(model, JSON.stringify(message)).slice(0, PART_DIGEST_LENGTH));
+}
+
 function readRequestedFields(body: ModelBody): EventField[] {
     const isUsageRequested = body.stream_options?.include_usage === true;
     const areTokenIdsRequested = body.return_token_ids === true;
--- a/src/router/filters/runRepeatable.ts
+++ b/src/router/filters/runRepeatable.ts
@@ -33,11 +33,13 @@
             exchange.firstByteAt ??= readMonotonicMs();
         },
     };
-    const stream = exchange.target.isStream ? createStreamSink(observer) : undefined;
+    const suspicion = createCrashGuard(context, exchange);
+    const stream = exchange.target.isStream
+        ? createStreamSink({ ...observer, onFirstEvent: () => suspicion.recordAnswer() })
+        : undefined;
     const whole = createBufferedSink(observer);
     const runner = createAttemptRunner(context, exchange, stream ?? whole, signal);
     const tried = new Set<string>();
-    const suspicion = createCrashGuard(context, exchange);
     let result: AttemptResult | undefined;
     let mayHaveRun = false;
     context.retries.recordFirstAttempt();
@@ -54,6 +56,7 @@
             break;
         }
         tried.add(view.fact.host);
+        suspicion.recordSend();
         result = await runner.runAttempt(createAttemptPlan(view), prepareBody(attempt), {
             keyDigest: "",
             isIsolated: suspicion.isSuspected(),
--- a/src/router/routerControl.ts
+++ b/src/router/routerControl.ts
@@ -2,6 +2,7 @@
 import { type DocumentHolder, type RankStructure, type StoredDocument, WORK_RANKS, WorkRank } from "../config/index.js";
 import { buildRouter, processProcedure } from "../control/index.js";
 import { type EndpointFact, endpointFactSchema } from "../membership/index.js";
+import { partReportSchema } from "../scheduling/index.js";
 
 /** Schema of the message that a router sends to its peers every second. */
 export const peerMessageSchema = z.object({
@@ -11,6 +12,8 @@
     facts: z.array(endpointFactSchema),
     /** Digests of requests that crashed endpoints, with the number of endpoints lost. */
     suspects: z.array(z.object({ digest: z.string(), losses: z.number().int(), generation: z.number().int() })),
+    /** Parts of prompts that are suspected of crashing endpoints, or were so lately. */
+    parts: z.array(partReportSchema).default([]),
 });
 
 /** Message that a router sends to its peers. */
--- a/src/router/startRouter.ts
+++ b/src/router/startRouter.ts
@@ -26,6 +26,8 @@
     createAffinitySelector,
     createRetryBudget,
     createSuspectTable,
+    createPartQuarantine,
+    type PartQuarantine,
 } from "../scheduling/index.js";
 import {
     EventId,
@@ -78,6 +80,10 @@
         logger,
     });
     const suspects = createSuspectTable();
+    const quarantine = createPartQuarantine({
+        onStatus: (part, status, crashes) => logger.logEvent(EventId.PartStatusChanged, { part, status, crashes }),
+        announce: () => void exchange.sendToAll(),
+    });
     const account = createAccount(settings.zone, settings.host);
     const context: RouterContext = {
         host: settings.host,
@@ -95,6 +101,7 @@
         claims: createSingleClaimStore(keyValue),
         handovers: createHandoverStore(keyValue),
         suspects,
+        quarantine,
         broadcastSuspects: () => exchange.sendToAll(),
         recordIncident: (kind, subject) => account.recordIncident(kind, subject),
         logger,
@@ -109,6 +116,7 @@
         table,
         getDocumentVersion: holder.getVersion,
         listSuspects: () => suspects.listSuspects(readMonotonicMs()),
+        listPartReports: () => quarantine.listReports(readMonotonicMs()),
         onDocument: (stored, from) => sync.takeDocument(stored, from),
         onZoneSilent: zone => account.recordIncident(IncidentKind.ZoneCut, zone),
         logger,
@@ -144,7 +152,15 @@
         logger,
     });
     const summaries = startSummaryWriter({ service: keyValue, account, logger, random: Math.random });
-    const control = await startControl(settings, { holder, table, exchange, suspects, zone: settings.zone, adminApi });
+    const control = await startControl(settings, {
+        holder,
+        table,
+        exchange,
+        suspects,
+        quarantine,
+        zone: settings.zone,
+        adminApi,
+    });
     const metricsServer = await startMetricsServer(
         metrics,
         { isReady: () => holder.getVersion() > 0 && !callerServer.isDraining() },
@@ -210,6 +226,7 @@
     table: EndpointTable;
     exchange: PeerExchange;
     suspects: SuspectTable;
+    quarantine: PartQuarantine;
     zone: string;
     adminApi: AdminHandler;
 }
@@ -252,6 +269,7 @@
     const now = readMonotonicMs();
     message.facts.forEach(fact => dependencies.table.recordFact(fact, origin, now));
     dependencies.suspects.mergeSuspects(message.suspects, now);
+    dependencies.quarantine.mergeReports(message.parts, now);
     dependencies.exchange.handleVersion(message.host, message.documentVersion);
 }
 
--- a/tests/router/faultsTests.ts
+++ b/tests/router/faultsTests.ts
@@ -42,6 +42,30 @@
     answers.forEach((answer, index) => t.equal(readStreamText(answer.body), computeAnswer(`user:good${index}`, 60)));
 });
 
+t.test("messages that crash engines crash at most two, in requests of which no two are alike", async t => {
+    let crashes = 0;
+    const system = await startSmallSystem(t, { engines: 4, services: 0, routers: 2, engine: { stepMs: 5 } });
+    for (const engine of system.engines) {
+        engine.faults.crashText = "poison";
+        engine.faults.onCrash = () => {
+            crashes++;
+            void engine.close();
+        };
+    }
+    const url = (index: number): string => system.urls[index % 2] ?? "";
+    const statuses: (number | undefined)[] = [];
+    const isServed: boolean[] = [];
+    for (let index = 0; index < 8; index++) {
+        const sound = { url: url(index), key: "key-of-shops", system: "sound", text: `s${index}` };
+        isServed.push((await sendChat(sound)).status === 200);
+        const crashing = { url: url(index), key: "key-of-shops", system: "poison", text: `p${index}` };
+        statuses.push((await sendChat({ ...crashing, isStream: index % 2 === 0 }).catch(() => undefined))?.status);
+    }
+    t.ok(crashes <= 2, `${crashes} engines crashed`);
+    t.notOk(isServed.includes(false), "requests of the same team are served");
+    t.notOk(statuses.includes(200));
+});
+
 t.test(
     "a stalled connection is detected, and the router reattaches to the attempt instead of repeating it",
     async t => {
