Gossip: leave out the oldest suspects instead of the whole message when it is too long for a datagram

Callers: after some 500 suspected requests within ten minutes a router fell silent towards all others: its load, its endpoints and its suspects were no longer told. Evidence: peerGossipTests, 'a router that suspects more requests than fit a datagram is still heard', failed; passes.

--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -200,7 +200,7 @@
             routers,
             routerZones: routers.map(address => known.get(address)?.zone ?? ""),
         };
-        const bytes = Buffer.from(JSON.stringify(message));
+        const bytes = encodeMessage(message);
         if (bytes.length > MAX_DATAGRAM_BYTES) {
             logger.logEvent(EventId.TaskFailed, {
                 task: "peer news",
@@ -259,6 +259,18 @@
     }
 }
 
+/** Encodes a message; the suspects that were recorded first are left out if it would be too long for a datagram. */
+function encodeMessage(message: GossipMessage): Buffer {
+    let { suspects } = message;
+    for (;;) {
+        const bytes = Buffer.from(JSON.stringify({ ...message, suspects }));
+        if (bytes.length <= MAX_DATAGRAM_BYTES || suspects.length === 0) {
+            return bytes;
+        }
+        suspects = suspects.slice(Math.ceil(suspects.length / 2));
+    }
+}
+
 /** Adds to an age, unless it is negative because the event never took place. */
 function addElapsed(ageMs: number, elapsedMs: number): number {
     return ageMs < 0 ? ageMs : ageMs + elapsedMs;
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -2,13 +2,22 @@
 import t from "tap";
 import { type GossipMessage, startPeerGossip } from "../../src/peers/index.js";
 import { createLogger } from "../../src/telemetry/logger.js";
+import { computeDigest } from "../../src/utils/digest.js";
+import { buildList } from "../../src/utils/list.js";
 import { waitFor } from "../../src/utils/time.js";
 import { findFreePorts } from "../../bench/fleet/ports.js";
 import type { OwningTest } from "../fixtures.js";
 
 const SETTLE_MS = 600;
 
-function startGossip(t: OwningTest, address: string, port: number, seeds: string[], zone = "a") {
+function startGossip(
+    t: OwningTest,
+    address: string,
+    port: number,
+    seeds: string[],
+    zone = "a",
+    suspects: GossipMessage["suspects"] = [],
+) {
     const received: GossipMessage[] = [];
     const lines: string[] = [];
     const gossip = startPeerGossip({
@@ -27,7 +36,7 @@
             endpointDigest: 0,
             load: { "i-1": 2 },
             isZoneLoad: isToOtherZones,
-            suspects: [],
+            suspects,
             parts: [],
             isLeaving: false,
         }),
@@ -51,6 +60,18 @@
     t.match(second.received[0], { version: 3, load: { "i-1": 2 } });
 });
 
+t.test("a router that suspects more requests than fit a datagram is still heard, with the newest of them", async t => {
+    const [port = 0] = await findFreePorts(1);
+    const suspects = buildList(1_000, index => ({ digest: computeDigest(`${index}`), losses: 1, generation: 0 }));
+    startGossip(t, "127.0.0.1", port, [], "a", suspects);
+    const second = startGossip(t, "127.0.0.2", port, ["127.0.0.1"]);
+    await waitFor(SETTLE_MS);
+    const [message] = second.gossip.listRecent(SETTLE_MS);
+    t.match(message, { host: "127.0.0.1", load: { "i-1": 2 } });
+    t.strictSame(message?.suspects.at(-1), suspects.at(-1));
+    t.ok((message?.suspects.length ?? 0) > 100);
+});
+
 t.test("datagrams that are malformed or have a forged address are rejected", async t => {
     const [port = 0] = await findFreePorts(1);
     const router = startGossip(t, "127.0.0.1", port, []);
