Quarantine: refuse a part after one crash if nothing else of the request can be the cause

Callers: the second crash of a part cost a whole group another 5 s; three endpoints that crashed within 0.2 s under the same part counted as one, and a trial crashed a fourth. Cause: what the crash itself tells was not used. An endpoint that is gone between the head and the first event of its answer had just begun to write it; parts that were answered lately can't be the cause. Change: such a crash is conclusive if exactly one part of the request is unproven; simultaneous crashes count as one for proven parts only. A part refused wrongly is tried again after 30 s, as before, and any answer clears it.

--- a/src/direct/CrashGuard.ts
+++ b/src/direct/CrashGuard.ts
@@ -95,7 +95,8 @@
         // A crash under an answer that had begun is not due to a part, and silence may be the network's.
         if (probe === ProbeResult.Refused && exchange.eventCount === 0) {
             isTrial = false;
-            quarantine.recordCrash(exchange.sharedParts, `${endpoint.id}/${endpoint.bornAt}`, now);
+            const isUnderAnswer = state.lastFailure === undefined;
+            quarantine.recordCrash(exchange.sharedParts, `${endpoint.id}/${endpoint.bornAt}`, isUnderAnswer, now);
         }
     }
 
--- a/src/router/attempts/CrashGuard.ts
+++ b/src/router/attempts/CrashGuard.ts
@@ -98,7 +98,7 @@
     /** A crash under an answer that had begun is not due to a part of the prompt. */
     function recordCrashedParts(): void {
         if (!hasBegun) {
-            quarantine.recordCrash(sharedParts, exchange.hosts.at(-1) ?? "", readMonotonicMs());
+            quarantine.recordCrash(sharedParts, exchange.hosts.at(-1) ?? "", false, readMonotonicMs());
         }
     }
 
--- a/src/scheduling/PartQuarantine.ts
+++ b/src/scheduling/PartQuarantine.ts
@@ -39,8 +39,11 @@
     endTrial(parts: readonly string[]): void;
     /** Records that an endpoint began to answer a request, which proves that its parts are sound. */
     recordAnswer(parts: readonly string[], now: number): void;
-    /** Records that an endpoint crashed before it began to answer a request. */
-    recordCrash(parts: readonly string[], endpoint: string, now: number): void;
+    /**
+     * Records that an endpoint crashed before the first event of its answer to a request.
+     * @param isUnderAnswer - Whether the endpoint had begun to answer.
+     */
+    recordCrash(parts: readonly string[], endpoint: string, isUnderAnswer: boolean, now: number): void;
     /** Merges the reports of another router. */
     mergeReports(reports: readonly PartReport[], now: number): void;
     listReports(now: number): PartReport[];
@@ -62,7 +65,7 @@
 const PROVEN_ALLOWANCE = 1;
 /** Crashes of one endpoint within this time are one crash that several routers saw, in milliseconds. */
 const SAME_CRASH_MS = 10_000;
-/** Crashes within this time count as one: endpoints that fail together have another cause in common. */
+/** Crashes of a proven part within this time count as one: endpoints that fail together have another cause in common. */
 const SIMULTANEOUS_MS = 200;
 /** Time for which an answer proves a part, in milliseconds. */
 const PROOF_MS = 300_000;
@@ -82,11 +85,18 @@
 const MAX_REPORTS = 50;
 const MAX_PROVEN_PARTS = 4_096;
 
+interface Crash {
+    endpoint: string;
+    at: number;
+    /** The endpoint crashed as it began to answer, and no other part can be the cause. */
+    isConclusive: boolean;
+}
+
 interface PartEntry {
     generation: number;
     isProven: boolean;
     /** Crashes with their monotonic times, in milliseconds. */
-    crashes: { endpoint: string; at: number }[];
+    crashes: Crash[];
     /** Monotonic time until which no other trial may begin, in milliseconds. */
     trialUntil: number;
     /** The trial is this router's, which tells the others of it. */
@@ -156,23 +166,35 @@
         dropOldest(answeredAt, MAX_PROVEN_PARTS);
     }
 
-    function recordCrash(parts: readonly string[], endpoint: string, now: number): void {
+    function recordCrash(parts: readonly string[], endpoint: string, isUnderAnswer: boolean, now: number): void {
         if (parts.length === 0) {
             return;
         }
-        // Parts that were suspected before this crash explain it, so the others are not suspected because of it.
-        const explaining = parts.filter(part => {
-            const entry = entries.get(part);
-            return entry !== undefined && isSuspected(entry) && !hasCrash(entry, endpoint, now);
-        });
-        for (const part of explaining.length > 0 ? explaining : parts) {
+        const unproven = parts.filter(part => !isProven(part, now));
+        const isConclusive = isUnderAnswer && unproven.length === 1;
+        const causes = isConclusive ? unproven : listLikelyCauses(parts, endpoint, now);
+        for (const part of causes) {
             const entry = getEntry(part, now);
-            changeEntry(part, entry, () => addCrash(entry, endpoint, now, now));
+            changeEntry(part, entry, () => addCrash(entry, { endpoint, at: now, isConclusive }, now));
         }
         dropOldest(entries, MAX_SUSPECTS);
         options.announce();
     }
 
+    /** Parts that were suspected before a crash explain it, so the others are not suspected because of it. */
+    function listLikelyCauses(parts: readonly string[], endpoint: string, now: number): readonly string[] {
+        const suspectedBefore = parts.filter(part => {
+            const entry = entries.get(part);
+            return entry !== undefined && isSuspected(entry) && !hasCrash(entry, endpoint, now);
+        });
+        return suspectedBefore.length > 0 ? suspectedBefore : parts;
+    }
+
+    function isProven(part: string, now: number): boolean {
+        const provenAt = answeredAt.get(part) ?? Number.NEGATIVE_INFINITY;
+        return entries.get(part)?.isProven === true || now - provenAt < PROOF_MS;
+    }
+
     function mergeReports(reports: readonly PartReport[], now: number): void {
         for (const report of reports) {
             // Nothing is taken over that is about to be forgotten, or routers would remind each other of it for good.
@@ -196,7 +218,9 @@
         if (report.trialMs > 0) {
             entry.trialUntil = Math.max(entry.trialUntil, now + report.trialMs);
         }
-        report.crashes.forEach(({ endpoint, ageMs }) => addCrash(entry, endpoint, now - ageMs, now));
+        for (const { endpoint, ageMs, isConclusive } of report.crashes) {
+            addCrash(entry, { endpoint, at: now - ageMs, isConclusive }, now);
+        }
         const provenAt = answeredAt.get(report.part) ?? Number.NEGATIVE_INFINITY;
         if (entry.crashes.length > 0 && provenAt > getLastCrashAt(entry)) {
             clearEntry(entry, entry.generation + 1, now);
@@ -220,7 +244,9 @@
                 part,
                 generation,
                 isProven,
-                crashes: crashes.map(({ endpoint, at }) => ({ endpoint, ageMs: Math.round(now - at) })),
+                crashes: crashes.map(({ endpoint, at, isConclusive }) => {
+                    return { endpoint, ageMs: Math.round(now - at), isConclusive };
+                }),
                 trialMs: isOwnTrial ? Math.max(0, Math.round(trialUntil - now)) : 0,
             }));
     }
@@ -242,9 +268,14 @@
     function getEntry(part: string, now: number): PartEntry {
         let entry = entries.get(part);
         if (entry === undefined) {
-            const isProven = now - (answeredAt.get(part) ?? Number.NEGATIVE_INFINITY) < PROOF_MS;
-            const trialUntil = Number.NEGATIVE_INFINITY;
-            entry = { generation: 0, isProven, crashes: [], trialUntil, isOwnTrial: false, changedAt: now };
+            entry = {
+                generation: 0,
+                isProven: isProven(part, now),
+                crashes: [],
+                trialUntil: Number.NEGATIVE_INFINITY,
+                isOwnTrial: false,
+                changedAt: now,
+            };
             entries.set(part, entry);
         }
         return entry;
@@ -264,9 +295,9 @@
     entry.isOwnTrial = false;
 }
 
-function addCrash(entry: PartEntry, endpoint: string, at: number, now: number): void {
-    if (!hasCrash(entry, endpoint, at)) {
-        entry.crashes = [...entry.crashes, { endpoint, at }].slice(-MAX_CRASHES);
+function addCrash(entry: PartEntry, crash: Crash, now: number): void {
+    if (!hasCrash(entry, crash.endpoint, crash.at)) {
+        entry.crashes = [...entry.crashes, crash].slice(-MAX_CRASHES);
         entry.changedAt = now;
     }
 }
@@ -291,8 +322,16 @@
     return crashes < REFUSAL_CRASHES ? PartStatus.Suspected : PartStatus.Refused;
 }
 
-/** Counts the crashes that are held against a part. */
+/** Counts the crashes that are held against a part; a conclusive one is enough to refuse it. */
 function countCrashes(entry: PartEntry): number {
+    if (entry.isProven) {
+        return countSeparateCrashes(entry) - PROVEN_ALLOWANCE;
+    }
+    const isConclusive = entry.crashes.some(crash => crash.isConclusive);
+    return Math.max(entry.crashes.length, isConclusive ? REFUSAL_CRASHES : 0);
+}
+
+function countSeparateCrashes(entry: PartEntry): number {
     let count = 0;
     let lastAt = Number.NEGATIVE_INFINITY;
     for (const { at } of [...entry.crashes].sort((left, right) => left.at - right.at)) {
@@ -301,7 +340,7 @@
             lastAt = at;
         }
     }
-    return count - (entry.isProven ? PROVEN_ALLOWANCE : 0);
+    return count;
 }
 
 /** Computes the monotonic time from which a suspected part may be tried, in milliseconds. */
--- a/src/scheduling/PartReport.ts
+++ b/src/scheduling/PartReport.ts
@@ -12,6 +12,8 @@
             endpoint: z.string(),
             /** Time since the crash, in milliseconds. */
             ageMs: z.number(),
+            /** The endpoint crashed as it began to answer, and no other part can be the cause. */
+            isConclusive: z.boolean().default(false),
         }),
     ),
     /** Remaining time for which no other trial may begin, in milliseconds. */
--- a/tests/scheduling/PartQuarantineTests.ts
+++ b/tests/scheduling/PartQuarantineTests.ts
@@ -31,14 +31,14 @@
     const quarantine = createTested();
     quarantine.recordAnswer(["team"], 0);
     t.equal(quarantine.checkParts(["team", "dead"], 0), PartDecision.Allowed);
-    quarantine.recordCrash(["team", "dead"], "e1", 100);
+    quarantine.recordCrash(["team", "dead"], "e1", false, 100);
     t.equal(quarantine.checkParts(["team", "dead"], 200), PartDecision.Wait);
     t.equal(quarantine.checkParts(["team"], 200), PartDecision.Allowed, "sound requests of the same team are served");
     const trialAt = 100 + FIRST_TRIAL_MS;
     t.equal(quarantine.checkParts(["team", "dead"], trialAt), PartDecision.Trial);
     quarantine.startTrial(["team", "dead"], trialAt);
     t.equal(quarantine.checkParts(["other", "dead"], trialAt), PartDecision.Wait, "one trial at a time");
-    quarantine.recordCrash(["team", "dead"], "e2", trialAt + 200);
+    quarantine.recordCrash(["team", "dead"], "e2", false, trialAt + 200);
     t.equal(quarantine.checkParts(["other", "dead"], trialAt + 2 * SECOND_MS), PartDecision.Refused);
     t.equal(quarantine.checkParts(["team"], trialAt + 2 * SECOND_MS), PartDecision.Allowed);
     t.strictSame(quarantine.statuses, ["dead suspected", "dead refused"]);
@@ -46,9 +46,34 @@
     t.end();
 });
 
+t.test("a part is refused at once if an endpoint crashed as it began to answer, and all other parts are proven", t => {
+    const quarantine = createTested();
+    quarantine.recordAnswer(["team"], 0);
+    quarantine.recordCrash(["team", "dead"], "e1", true, 100);
+    t.equal(quarantine.checkParts(["dead"], 5 * SECOND_MS), PartDecision.Refused);
+    t.equal(quarantine.checkParts(["team"], 200), PartDecision.Allowed);
+    quarantine.recordCrash(["new", "newer"], "e2", true, 200);
+    t.equal(quarantine.checkParts(["new"], 300), PartDecision.Wait, "not if two parts may be the cause");
+    quarantine.recordAnswer(["new"], 400);
+    t.equal(quarantine.checkParts(["newer"], 200 + FIRST_TRIAL_MS), PartDecision.Trial);
+    quarantine.recordCrash(["team"], "e3", true, 500);
+    t.equal(quarantine.checkParts(["team"], 600), PartDecision.Allowed, "nor a proven part");
+    quarantine.recordAnswer(["dead"], 31 * SECOND_MS);
+    t.equal(quarantine.checkParts(["dead"], 31 * SECOND_MS), PartDecision.Allowed, "an answer clears it");
+    t.end();
+});
+
+t.test("an unproven part under which several endpoints crash at the same moment is refused", t => {
+    const quarantine = createTested();
+    quarantine.recordCrash(["dead"], "e1", false, 0);
+    quarantine.recordCrash(["dead"], "e2", false, 30);
+    t.equal(quarantine.checkParts(["dead"], 5 * SECOND_MS), PartDecision.Refused);
+    t.end();
+});
+
 t.test("a part that crashed once for another cause is clear as soon as one request with it is answered", t => {
     const quarantine = createTested();
-    quarantine.recordCrash(["new"], "e1", 0);
+    quarantine.recordCrash(["new"], "e1", false, 0);
     quarantine.startTrial(["new"], FIRST_TRIAL_MS);
     quarantine.recordAnswer(["new"], FIRST_TRIAL_MS + 100);
     t.equal(quarantine.checkParts(["new"], FIRST_TRIAL_MS + 100), PartDecision.Allowed);
@@ -57,7 +82,7 @@
 
 t.test("a trial without a result makes place for the next one", t => {
     const quarantine = createTested();
-    quarantine.recordCrash(["new"], "e1", 0);
+    quarantine.recordCrash(["new"], "e1", false, 0);
     quarantine.startTrial(["new"], FIRST_TRIAL_MS);
     quarantine.endTrial(["new"]);
     t.equal(quarantine.checkParts(["new"], FIRST_TRIAL_MS + 10), PartDecision.Trial);
@@ -74,7 +99,9 @@
         for (let round = 0; round < 10; round++) {
             const at = round * 5 * SECOND_MS;
             quarantine.recordAnswer(parts, at);
-            ["e1", "e2", "e3"].forEach(endpoint => quarantine.recordCrash(parts, `${endpoint}/${round}`, at + 100));
+            ["e1", "e2", "e3"].forEach(endpoint =>
+                quarantine.recordCrash(parts, `${endpoint}/${round}`, false, at + 100),
+            );
             t.equal(quarantine.checkParts(parts, at + 200), PartDecision.Allowed);
         }
         t.end();
@@ -86,7 +113,7 @@
     quarantine.recordAnswer(["turned"], 0);
     const decisions = [1, 2, 3].map(crash => {
         const at = crash * 10 * SECOND_MS;
-        quarantine.recordCrash(["turned"], `e${crash}`, at);
+        quarantine.recordCrash(["turned"], `e${crash}`, false, at);
         return quarantine.checkParts(["turned"], at + 2 * SECOND_MS);
     });
     t.strictSame(decisions, [PartDecision.Allowed, PartDecision.Trial, PartDecision.Refused]);
@@ -95,8 +122,8 @@
 
 t.test("a crash is put down to the part that was suspected before, not to the others of the same request", t => {
     const quarantine = createTested();
-    quarantine.recordCrash(["dead"], "e1", 0);
-    quarantine.recordCrash(["new", "dead"], "e2", 5 * SECOND_MS);
+    quarantine.recordCrash(["dead"], "e1", false, 0);
+    quarantine.recordCrash(["new", "dead"], "e2", false, 5 * SECOND_MS);
     t.equal(quarantine.checkParts(["dead"], 7 * SECOND_MS), PartDecision.Refused);
     t.equal(quarantine.checkParts(["new"], 7 * SECOND_MS), PartDecision.Allowed);
     t.end();
@@ -104,8 +131,8 @@
 
 t.test("a part that was refused wrongly is found sound again", t => {
     const quarantine = createTested();
-    quarantine.recordCrash(["new"], "e1", 0);
-    quarantine.recordCrash(["new"], "e2", 5 * SECOND_MS);
+    quarantine.recordCrash(["new"], "e1", false, 0);
+    quarantine.recordCrash(["new"], "e2", false, 5 * SECOND_MS);
     t.equal(quarantine.checkParts(["new"], 30 * SECOND_MS), PartDecision.Refused);
     t.equal(quarantine.checkParts(["new"], 36 * SECOND_MS), PartDecision.Trial);
     quarantine.startTrial(["new"], 36 * SECOND_MS);
@@ -122,7 +149,7 @@
         const decision = quarantine.checkParts(["dead"], now);
         if (decision === PartDecision.Allowed || decision === PartDecision.Trial) {
             quarantine.startTrial(["dead"], now);
-            quarantine.recordCrash(["dead"], `e${crashTimes.length}`, now);
+            quarantine.recordCrash(["dead"], `e${crashTimes.length}`, false, now);
             crashTimes.push(now);
         }
         quarantine.listReports(now);
@@ -135,7 +162,7 @@
 t.test("routers tell each other of crashes, trials and answers", t => {
     const [first, second, third] = [createTested(), createTested(), createTested()];
     second.recordAnswer(["team"], 0);
-    first.recordCrash(["team", "dead"], "e1", SECOND_MS);
+    first.recordCrash(["team", "dead"], "e1", false, SECOND_MS);
     second.mergeReports(first.listReports(SECOND_MS), SECOND_MS);
     t.equal(second.checkParts(["team"], SECOND_MS), PartDecision.Allowed, "it knows the answers of the team");
     first.mergeReports(second.listReports(SECOND_MS), SECOND_MS);
@@ -144,9 +171,9 @@
     second.startTrial(["dead"], trialAt);
     first.mergeReports(second.listReports(trialAt), trialAt);
     t.equal(first.checkParts(["dead"], trialAt), PartDecision.Wait);
-    second.recordCrash(["dead"], "e2", trialAt + 200);
+    second.recordCrash(["dead"], "e2", false, trialAt + 200);
     // Both routers had requests at the endpoint; it is one crash.
-    first.recordCrash(["dead"], "e2", trialAt + 210);
+    first.recordCrash(["dead"], "e2", false, trialAt + 210);
     third.mergeReports(first.listReports(trialAt + 300), 77_000);
     third.mergeReports(second.listReports(trialAt + 300), 77_000);
     t.equal(third.checkParts(["dead"], 78_000), PartDecision.Refused, "a router with another clock, too");
@@ -156,8 +183,8 @@
 
 t.test("an answer that one router saw clears the part at the others", t => {
     const [first, second] = [createTested(), createTested()];
-    first.recordCrash(["new"], "e1", 0);
-    first.recordCrash(["new"], "e2", 5 * SECOND_MS);
+    first.recordCrash(["new"], "e1", false, 0);
+    first.recordCrash(["new"], "e2", false, 5 * SECOND_MS);
     second.mergeReports(first.listReports(6 * SECOND_MS), 6 * SECOND_MS);
     t.equal(second.checkParts(["new"], 6 * SECOND_MS), PartDecision.Refused);
     second.recordAnswer(["new"], 7 * SECOND_MS);
@@ -175,8 +202,8 @@
         first.mergeReports(second.listReports(now), now);
         return first.listReports(now).length + second.listReports(now).length;
     };
-    first.recordCrash(["new"], "e1", 0);
-    first.recordCrash(["dead"], "e2", 0);
+    first.recordCrash(["new"], "e1", false, 0);
+    first.recordCrash(["dead"], "e2", false, 0);
     exchange(100);
     second.recordAnswer(["new"], 2 * SECOND_MS);
     exchange(3 * SECOND_MS);
