--- a/src/utils/watchDisconnect.ts
+++ b/src/utils/watchDisconnect.ts
@@ -38,7 +38,9 @@
         // Complete responses may still be delivered: the caller may have closed only its own side.
         [...watches].filter(({ response }) => !response.writableEnded).forEach(watch => endWatch(watches, watch));
     });
-    socket.once("close", () => [...watches].forEach(watch => endWatch(watches, watch)));
+    socket.once("close", () => {
+        [...watches].filter(({ response }) => !response.writableFinished).forEach(watch => endWatch(watches, watch));
+    });
     return watches;
 }
 
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -1,3 +1,4 @@
+import { decodeSharedParts } from "../../platform/decodeSharedParts.js";
 import fc from "fast-check";
 import t from "tap";
 import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
@@ -77,3 +78,12 @@
     );
     t.end();
 });
+
+t.test("the shared parts of a prompt are all but the last, each once", t => {
+    const decode = (list: string): string[] => decodeSharedParts({ "prefix-hash": list });
+    t.strictSame(decode("5C1e07a2:800, 91bd3f06:410,91bd3f06:410,e4402b7d:250"), ["5c1e07a2", "91bd3f06"]);
+    t.strictSame(decode("e4402b7d:250"), []);
+    t.strictSame(decode(`,:5,${"a".repeat(99)}:1,e4402b7d:250`), [], "what is no identifier is left out");
+    t.strictSame(decodeSharedParts({}), []);
+    t.end();
+});
