--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -1,8 +1,8 @@
-import { decodeSharedParts } from "../../platform/decodeSharedParts.js";
 import fc from "fast-check";
 import t from "tap";
 import { decodeConfiguration } from "../../platform/decodeConfiguration.js";
 import { decodeEndpoint, parseAddress } from "../../platform/decodeEndpoint.js";
+import { decodeSharedParts } from "../../platform/decodeSharedParts.js";
 import { buildDocument } from "../direct/fixtures.js";
 
 const ENTRY = {
