explain: name a part of prompts that crashed endpoints as a cause

Change: a rule by events 2302 with status refused, before that of a broken group, which follows from it.

--- a/src/logs/explainLogs.ts
+++ b/src/logs/explainLogs.ts
@@ -1,4 +1,5 @@
 import { Cause } from "../protocol/index.js";
+import { PartStatus } from "../scheduling/index.js";
 import { EventId } from "../telemetry/EventId.js";
 import type { LogLine } from "./LogLine.js";
 
@@ -6,6 +7,7 @@
 export enum LogCause {
     StoreAway = "the platform's store was out of reach",
     HostCutOff = "some hosts had lost touch with the platform's store",
+    CrashingPart = "a part of prompts crashed endpoints",
     GroupBroken = "a group lacked ranks, and took no work",
     SlowRank = "a slow rank held its group up",
     ChangeUnsettled = "a change of a group's map could not be ended",
@@ -52,6 +54,7 @@
 const CONFIGURED = new Set<unknown>([Cause.UnknownTeam, Cause.UnknownTarget]);
 /** The request waited for an endpoint. */
 const WAITING = new Set<unknown>([Cause.Late, Cause.TimedOut, Cause.CallerGone]);
+const BROKEN_OR_LATE = new Set<unknown>([Cause.EndpointFailed, Cause.Late]);
 const REFUSED = new Set<unknown>([Cause.NoEndpoint, Cause.Overload, Cause.RetryBudgetSpent, Cause.EndpointLost]);
 
 type Rule = (request: LogLine, near: readonly LogLine[], hosts: number) => LogLine | false | undefined;
@@ -63,6 +66,7 @@
         (request, near) => isOfAny(request, CONFIGURED) && (findEvent(near, EventId.DocumentApplied) ?? request),
     ],
     [LogCause.ProcessesStarted, findStarts],
+    [LogCause.CrashingPart, findCrashingPart],
     [LogCause.GroupBroken, (request, near) => isOfAny(request, REFUSED) && findEvent(near, EventId.GroupIncomplete)],
     [LogCause.SlowRank, (request, near) => isOfAny(request, WAITING) && near.find(isSlowRank)],
     [LogCause.ChangeUnsettled, (request, near) => isOfAny(request, WAITING) && near.find(isUnsettled)],
@@ -171,6 +175,17 @@
     return isMany ? starts[0] : undefined;
 }
 
+/** A request with the part, or one that met what the crash left behind. */
+function findCrashingPart(request: LogLine, near: readonly LogLine[]): LogLine | undefined {
+    const refusal = near.find(
+        line => line.event === EventId.PartStatusChanged && line.facts.status === PartStatus.Refused,
+    );
+    if (isOf(request, Cause.CrashSuspected)) {
+        return refusal ?? request;
+    }
+    return isOfAny(request, REFUSED) || isOfAny(request, BROKEN_OR_LATE) ? refusal : undefined;
+}
+
 /** An endpoint that the request was sent to, or any while the request found none. */
 function findGoneEndpoint(request: LogLine, near: readonly LogLine[]): LogLine | undefined {
     const sends = String(request.facts.sends ?? "");
--- a/tests/logs/explainLogsTests.ts
+++ b/tests/logs/explainLogsTests.ts
@@ -36,6 +36,30 @@
         ],
         cause: LogCause.ProcessesStarted,
     },
+    "a part of prompts that is refused": {
+        lines: [buildRequest(10_000, Cause.CrashSuspected)],
+        cause: LogCause.CrashingPart,
+    },
+    "a part of prompts that took a group down": {
+        lines: [
+            buildLine(8_000, "router-2", EventId.PartStatusChanged, { part: "app/p1", status: "refused", crashes: 1 }),
+            buildLine(9_000, "agent-1", EventId.GroupIncomplete),
+            buildRequest(10_000, Cause.NoEndpoint),
+        ],
+        cause: LogCause.CrashingPart,
+    },
+    "a group that broke up beside a part that was suspected only": {
+        lines: [
+            buildLine(8_000, "router-2", EventId.PartStatusChanged, {
+                part: "app/p1",
+                status: "suspected",
+                crashes: 1,
+            }),
+            buildLine(9_000, "agent-1", EventId.GroupIncomplete),
+            buildRequest(10_000, Cause.NoEndpoint),
+        ],
+        cause: LogCause.GroupBroken,
+    },
     "a group without some ranks": {
         lines: [buildRequest(10_000, Cause.NoEndpoint), buildLine(13_000, "agent-1", EventId.GroupIncomplete)],
         cause: LogCause.GroupBroken,
