--- a/bench/soak/SoakFleet.ts
+++ b/bench/soak/SoakFleet.ts
@@ -177,6 +177,7 @@
         seeds: [`${NETWORK}1:${ports.control}`, `${NETWORK}2:${ports.control}`],
         store: `127.0.0.1:${storePort}`,
         retries: { ratio: 0.2, burst: 92, windowSeconds: 10 },
+        applyMs: 2_000,
         leavingMs: 2_000,
         graceSeconds: 8,
     };
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -1,11 +1,12 @@
 import type { KeyValueService } from "../platform/index.js";
 import { type PeerGossip, type GossipMessage, type GossipState, startPeerGossip } from "../peers/index.js";
 import type { Logger } from "../telemetry/logger.js";
-import { readMonotonicMs } from "../utils/time.js";
+import { readMonotonicMs, roundAge } from "../utils/time.js";
 import type { DirectCodec } from "./DirectCodec.js";
 import type { DirectContext } from "./DirectContext.js";
 import type { DirectSettings } from "./DirectSettings.js";
 import { type PeerFallback, startPeerFallback } from "./PeerFallback.js";
+import { createDocumentKnowledge } from "./DocumentKnowledge.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
 import { PLATFORM_SILENCE_MS, createEndpointKnowledge } from "./EndpointKnowledge.js";
 import { type StoreSync, startStoreSync } from "./StoreSync.js";
@@ -33,6 +34,10 @@
     getStoreUptimeMs(): number;
     /** Time since the endpoint list was last updated from the store or a peer, in milliseconds. */
     getEndpointAgeMs(): number;
+    /** Time since the store confirmed to this router or a peer that the active document is the newest, in milliseconds. */
+    getDocumentAgeMs(): number;
+    /** Time for which a higher version than the active one has been known, in milliseconds; 0 if none is. */
+    getDocumentBehindMs(): number;
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
     /** Sends what this router knows to the others immediately instead of at the next period. */
@@ -68,6 +73,7 @@
     const { settings, service, codec, holder, context, logger } = options;
     const { directory, load, suspects, quarantine } = context;
     const knowledge = createEndpointKnowledge();
+    const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     let isLeaving = false;
     const storeSync: StoreSync = startStoreSync({
         service,
@@ -75,8 +81,10 @@
         holder,
         directory,
         leavingMs: settings.leavingMs,
+        applyMs: settings.applyMs,
         isOnDuty,
         knowledge,
+        documentKnowledge,
         logger,
     });
     const gossip: PeerGossip = startPeerGossip({
@@ -98,6 +106,7 @@
         directory,
         ownZone: settings.zone,
         knowledge,
+        documentKnowledge,
         isReadingStore: () => storeSync.isReading(),
         logger,
     });
@@ -107,7 +116,7 @@
             document: holder.getVersion() > knownVersion ? holder.getIndex()?.document : undefined,
             endpoints: directory.listRecords(),
             endpointRevision: knowledge.getRevision(),
-            endpointAgeMs: readKnowledgeAge(),
+            endpointAgeMs: roundAge(knowledge.getAgeMs()),
         }),
         isReadingStore: () => storeSync.isReading(),
         getStoreUptimeMs: () =>
@@ -116,6 +125,8 @@
                 ...gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS).map(({ platformUpMs }) => platformUpMs),
             ),
         getEndpointAgeMs: () => knowledge.getAgeMs(),
+        getDocumentAgeMs: () => documentKnowledge.getAgeMs(),
+        getDocumentBehindMs: () => documentKnowledge.getBehindMs(),
         getPeakRouterCount: () => gossip.getPeakRouterCount(),
         announceNews: () => gossip.sendNow(),
         announceLeaving() {
@@ -137,21 +148,16 @@
         });
     }
 
-    function readKnowledgeAge(): number {
-        const ageMs = knowledge.getAgeMs();
-        return Number.isFinite(ageMs) ? Math.round(ageMs) : -1;
-    }
-
     function buildMessage(isToOtherZones: boolean): GossipState {
-        const ageMs = storeSync.getAgeMs();
         return {
             host: settings.host,
             zone: settings.zone,
             version: holder.getVersion(),
-            platformAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+            documentAgeMs: roundAge(documentKnowledge.getAgeMs()),
+            platformAgeMs: roundAge(storeSync.getAgeMs()),
             platformUpMs: Math.round(knowledge.getUptimeMs()),
             endpointRevision: knowledge.getRevision(),
-            endpointAgeMs: readKnowledgeAge(),
+            endpointAgeMs: roundAge(knowledge.getAgeMs()),
             endpointDigest: directory.getDigest(),
             load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
             isZoneLoad: isToOtherZones,
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -24,6 +24,10 @@
     countRouters(): number;
     /** Time since the store confirmed the endpoints to this router or a peer, in milliseconds. */
     getStoreAgeMs(): number;
+    /** Time since the store confirmed that the active document is the newest, in milliseconds. */
+    getDocumentAgeMs(): number;
+    /** Time for which a higher version than the active one has been known, in milliseconds. */
+    getDocumentBehindMs(): number;
     /** Counts the parts of prompts with which requests are refused. */
     countRefusedParts(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
@@ -113,6 +117,14 @@
         { name: "auburnpass_store_age_seconds", help: "Time since the store last confirmed the endpoints" },
         () => state.getStoreAgeMs() / MS_PER_SECOND,
     );
+    set.addGauge(
+        { name: "auburnpass_document_age_seconds", help: "Time since the store last confirmed the document" },
+        () => state.getDocumentAgeMs() / MS_PER_SECOND,
+    );
+    set.addGauge(
+        { name: "auburnpass_document_behind_seconds", help: "Time for which a higher version has been known" },
+        () => state.getDocumentBehindMs() / MS_PER_SECOND,
+    );
     set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
         state.isReadingStore() ? 1 : 0,
     );
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -30,6 +30,8 @@
         /** Time from the signal until the process must have ended, in milliseconds. */
         graceMs: z.number().min(0),
     }),
+    /** Time within which a change of the routing document must be in force on every router, in milliseconds. */
+    applyMs: z.number().min(1),
     /** Time within which every router should learn that an endpoint is leaving, in milliseconds. */
     leavingMs: z.number().min(0),
     /** Time after the platform's store is back in which expired entries are expected to be written again, in milliseconds. */
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -2,6 +2,7 @@
 import type { PeerGossip, GossipMessage } from "../peers/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
+import type { DocumentKnowledge } from "./DocumentKnowledge.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import { type EndpointKnowledge, PLATFORM_SILENCE_MS } from "./EndpointKnowledge.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
@@ -20,6 +21,7 @@
     holder: RouteIndexHolder;
     directory: EndpointDirectory;
     knowledge: EndpointKnowledge;
+    documentKnowledge: DocumentKnowledge;
     /** Tells whether this router reads the store itself. */
     isReadingStore: () => boolean;
     logger: Logger;
@@ -57,6 +59,11 @@
     };
 
     function handleMessage(message: GossipMessage): void {
+        if (message.documentAgeMs >= 0) {
+            options.documentKnowledge.recordConfirmed(message.version, message.documentAgeMs);
+        } else {
+            options.documentKnowledge.recordHeard(message.version);
+        }
         const areEndpointsNewer = message.endpointRevision > knowledge.getRevision();
         const areEndpointsEqual = message.endpointDigest === directory.getDigest();
         if (message.endpointAgeMs >= 0 && areEndpointsEqual && message.endpointRevision >= knowledge.getRevision()) {
@@ -109,6 +116,7 @@
 
     async function fetchSnapshot(address: string): Promise<void> {
         isFetching = true;
+        const startedAt = readMonotonicMs();
         try {
             const client = getClient(address);
             const snapshot = await client.call<RouterSnapshot>(
@@ -118,7 +126,9 @@
             );
             applySnapshot(snapshot, address);
         } catch (error) {
-            logger.logFailure(EventId.PeerUnreachable, error, { peer: address });
+            const lastedMs = Math.round(readMonotonicMs() - startedAt);
+            const behindMs = Math.round(options.documentKnowledge.getBehindMs());
+            logger.logFailure(EventId.PeerUnreachable, error, { peer: address, lastedMs, behindMs });
         } finally {
             isFetching = false;
         }
--- a/src/direct/RouteIndexHolder.ts
+++ b/src/direct/RouteIndexHolder.ts
@@ -15,7 +15,7 @@
 
 /**
  * Creates a holder without a document.
- * @param onApplied - Called with each activated document and its source.
+ * @param onApplied - Called with each document and its source just before it is activated.
  */
 export function createRouteIndexHolder(
     onApplied: (document: RoutingDocument, source: string) => void,
@@ -31,8 +31,9 @@
         if (document.version <= getVersion()) {
             return false;
         }
-        index = createRouteIndex(document);
+        const next = createRouteIndex(document);
         onApplied(document, source);
+        index = next;
         return true;
     }
 }
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -6,8 +6,9 @@
     startPrefixWatcher,
 } from "../platform/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
-import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
+import { type Loop, readMonotonicMs, roundAge, startLoop } from "../utils/time.js";
 import type { DirectCodec } from "./DirectCodec.js";
+import type { DocumentKnowledge } from "./DocumentKnowledge.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointKnowledge } from "./EndpointKnowledge.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -22,10 +23,14 @@
     directory: EndpointDirectory;
     /** Maximum time until a leaving endpoint is recognised, in milliseconds. */
     leavingMs: number;
+    /** Maximum time until a change of the document is in force, in milliseconds. */
+    applyMs: number;
     /** Tells whether this router is to read the store itself. */
     isOnDuty: () => boolean;
     /** Updated with each answer on endpoints, and with failures. */
     knowledge: EndpointKnowledge;
+    /** Updated with each answer on the document. */
+    documentKnowledge: DocumentKnowledge;
     logger: Logger;
 }
 
@@ -45,8 +50,8 @@
 const DOCUMENT_ANSWER_TIMEOUT_MS = 700;
 /** Interval at which a router checks whether it is to read the service, in milliseconds. */
 const DUTY_CHECK_MS = 50;
-/** Fraction of `leavingMs` without an answer from which the gap is logged. */
-const LATE_ANSWER_FRACTION = 0.5;
+/** Fraction of `leavingMs` without an answer on endpoints, or of `applyMs` without news of the document, that is logged. */
+const LATE_NEWS_FRACTION = 0.5;
 
 /**
  * Starts the synchronisation.
@@ -57,6 +62,9 @@
     let answeredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
     let isDown = false;
+    /** The store's newest document can't be read, so the active one is not the newest. */
+    let isDocumentRejected = false;
+    let isDocumentNewsLate = false;
     let isReading = true;
     /** The service was not called for a time, and has not answered since. */
     let isResuming = false;
@@ -72,7 +80,7 @@
             onListing: entries => entries.forEach(applyDocument),
             onChanged: applyDocument,
             onDeleted: () => undefined,
-            onAnswer: () => undefined,
+            onAnswer: confirmDocument,
             onFailure: (error, call) => recordFailure(codec.documentPrefix, error, call),
         },
     });
@@ -94,7 +102,10 @@
     });
     const dutyLoop: Loop = startLoop(
         DUTY_CHECK_MS,
-        () => Promise.resolve(updateDuty()),
+        async () => {
+            updateDuty();
+            checkDocumentNews();
+        },
         error => logger.logFailure(EventId.TaskFailed, error, { task: "store duty" }),
     );
     return {
@@ -105,6 +116,20 @@
         },
     };
 
+    function checkDocumentNews(): void {
+        const { documentKnowledge, applyMs } = options;
+        const ageMs = documentKnowledge.getAgeMs();
+        const behindMs = documentKnowledge.getBehindMs();
+        const isLate = holder.getVersion() > 0 && Math.max(ageMs, behindMs) > LATE_NEWS_FRACTION * applyMs;
+        if (isLate && !isDocumentNewsLate) {
+            const heard = documentKnowledge.getHeardVersion();
+            const facts = { version: holder.getVersion(), heard, isReading };
+            const times = { ageMs: roundAge(ageMs), behindMs: Math.round(behindMs) };
+            logger.logEvent(EventId.DocumentNewsLate, { ...facts, ...times });
+        }
+        isDocumentNewsLate = isLate;
+    }
+
     function updateDuty(): void {
         const isOnDuty = options.isOnDuty();
         if (isOnDuty === isReading) {
@@ -124,6 +149,7 @@
             return;
         }
         const decoded = codec.decodeDocument(entry.value);
+        isDocumentRejected = "problem" in decoded;
         if ("problem" in decoded) {
             logger.logEvent(EventId.DocumentRejected, { revision: entry.revision, problem: decoded.problem });
             return;
@@ -131,6 +157,12 @@
         holder.applyDocument(decoded.value, "platform");
     }
 
+    function confirmDocument(): void {
+        if (!isDocumentRejected && holder.getVersion() > 0) {
+            options.documentKnowledge.recordConfirmed(holder.getVersion(), 0);
+        }
+    }
+
     function applyEndpoint(entry: KeyValueEntry): void {
         const record = decodeEndpoint(entry);
         if (record !== undefined) {
@@ -166,7 +198,7 @@
     }
 
     function logLateAnswer(gapMs: number): void {
-        if (Number.isFinite(gapMs) && gapMs > LATE_ANSWER_FRACTION * options.leavingMs) {
+        if (Number.isFinite(gapMs) && gapMs > LATE_NEWS_FRACTION * options.leavingMs) {
             logger.logEvent(EventId.EndpointNewsLate, { gapMs: Math.round(gapMs), revision: endpointRevision });
         }
     }
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -65,7 +65,9 @@
     let stopping: Promise<void> | undefined;
     const holder = createRouteIndexHolder((document, source) => {
         callers.applyLimits(document.limits);
-        logger.logEvent(EventId.DocumentApplied, { version: document.version, source, routes: document.routes.length });
+        const { version, routes } = document;
+        const behindMs = Math.round(knowledge.getDocumentBehindMs());
+        logger.logEvent(EventId.DocumentApplied, { version, source, routes: routes.length, behindMs });
     });
     const context = createContext(settings, platform, logger, {
         getPeakRouterCount: () => knowledge.getPeakRouterCount(),
@@ -80,6 +82,8 @@
         countRefusedParts: () => context.quarantine.countRefused(),
         countRouters: () => knowledge.getPeakRouterCount(),
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
+        getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
+        getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
         isReadingStore: () => knowledge.isReadingStore(),
     });
     const service = createCountedService(platform.service, metrics.recordStoreCall);
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -11,6 +11,8 @@
     address: z.ipv4(),
     /** Version of the active routing document. */
     version: z.number().int(),
+    /** Time since the store confirmed that this version is the newest, in milliseconds; -1 if it never did. */
+    documentAgeMs: z.number().default(-1),
     /** Time since the platform last answered this router, in milliseconds; -1 if it never did. */
     platformAgeMs: z.number(),
     /** Time for which the sender has had news of the platform without a silence or a failed call of its own, in milliseconds. */
@@ -254,6 +256,7 @@
             .map(({ message, receivedAt }) => ({
                 ...message,
                 platformAgeMs: addElapsed(message.platformAgeMs, now - receivedAt),
+                documentAgeMs: addElapsed(message.documentAgeMs, now - receivedAt),
                 endpointAgeMs: addElapsed(message.endpointAgeMs, now - receivedAt),
             }));
     }
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -29,6 +29,7 @@
     PlatformCallFailed = 5003,
     EndpointNewsLate = 5004,
     StoreDutyChanged = 5005,
+    DocumentNewsLate = 5006,
     HostLeft = 5102,
     PeerRejected = 5201,
     PeerUnreachable = 5202,
--- a/src/utils/time.ts
+++ b/src/utils/time.ts
@@ -30,6 +30,15 @@
     return performance.now();
 }
 
+/**
+ * Rounds an age for messages and logs.
+ * @param ageMs - Time since an event, in milliseconds; infinite if it never took place.
+ * @returns -1 for an event that never took place.
+ */
+export function roundAge(ageMs: number): number {
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : -1;
+}
+
 /** A task that repeats until it is stopped. */
 export interface Loop {
     /** Ends the loop and waits for the run in progress. */
--- a/standins/network/linkStandin.ts
+++ b/standins/network/linkStandin.ts
@@ -1,4 +1,5 @@
 import net from "node:net";
+import { MS_PER_SECOND } from "../../src/utils/time.js";
 
 /** Faults of a link. */
 export interface LinkFaults {
@@ -6,6 +7,16 @@
     isCut: boolean;
     /** Delay of each piece of data, in milliseconds. */
     delayMs: number;
+    /** Rate at which all connections together get the server's data, in bytes a second; undefined if it has no bound. */
+    bytesPerSecond: number | undefined;
+}
+
+/** Where a link listens, and where its server is. */
+export interface LinkPlaces {
+    address?: string;
+    /** By default any free port. */
+    port?: number;
+    targetAddress?: string;
 }
 
 /** A network link between a process and the server that it speaks to. */
@@ -25,15 +36,20 @@
     isSilent: boolean;
 }
 
+const LOOPBACK = "127.0.0.1";
+
 /**
  * Starts a link on loopback.
  * @param targetPort - Port of the server behind the link.
+ * @param places - Addresses of both ends, if they are others than 127.0.0.1.
  */
-export async function startLinkStandin(targetPort: number): Promise<LinkStandin> {
-    const faults: LinkFaults = { isCut: false, delayMs: 0 };
+export async function startLinkStandin(targetPort: number, places: LinkPlaces = {}): Promise<LinkStandin> {
+    const faults: LinkFaults = { isCut: false, delayMs: 0, bytesPerSecond: undefined };
     const connections = new Set<Connection>();
+    /** Monotonic time until which the link is busy with the server's data, in milliseconds. */
+    let busyUntil = 0;
     const server = net.createServer(near => openConnection(near));
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>(resolve => server.listen(places.port ?? 0, places.address ?? LOOPBACK, resolve));
     return {
         port: (server.address() as net.AddressInfo).port,
         faults,
@@ -49,8 +65,11 @@
         restore() {
             faults.isCut = false;
             faults.delayMs = 0;
+            faults.bytesPerSecond = undefined;
         },
         close() {
+            // A peer may connect again before the server is closed.
+            faults.isCut = true;
             connections.forEach(endConnection);
             return new Promise(resolve => server.close(() => resolve()));
         },
@@ -61,7 +80,7 @@
             near.destroy();
             return;
         }
-        const far = net.connect(targetPort, "127.0.0.1");
+        const far = net.connect(targetPort, places.targetAddress ?? LOOPBACK);
         const connection: Connection = { near, far, isSilent: false };
         connections.add(connection);
         forward(connection, near, far);
@@ -72,7 +91,13 @@
         /** Pieces on their way, in order; a later one never overtakes an earlier one, also when a delay ends. */
         const pieces: { dueAt: number; run: () => void }[] = [];
         from.setNoDelay(true);
-        from.on("data", (chunk: Buffer) => send(() => to.write(chunk)));
+        from.on("data", (chunk: Buffer) => {
+            if (faults.bytesPerSecond === undefined || from === connection.near) {
+                send(() => to.write(chunk));
+            } else {
+                sendInTurn(chunk, faults.bytesPerSecond);
+            }
+        });
         from.on("end", () => send(() => to.end()));
         from.on("error", () => undefined);
         from.on("close", () => {
@@ -82,6 +107,17 @@
             }
         });
 
+        /** Each connection has one piece under way, so that all of them get equal shares of the rate. */
+        function sendInTurn(chunk: Buffer, bytesPerSecond: number): void {
+            from.pause();
+            const now = performance.now();
+            busyUntil = Math.max(now, busyUntil) + (chunk.length / bytesPerSecond) * MS_PER_SECOND;
+            setTimeout(() => {
+                send(() => to.write(chunk));
+                from.resume();
+            }, busyUntil - now);
+        }
+
         function send(run: () => void): void {
             if (faults.delayMs === 0 && pieces.length === 0) {
                 runUnlessSilent(run);
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -71,11 +71,13 @@
 /**
  * Starts a router and some endpoints.
  * @param wrapStore - Wraps the store for the router, for example to inject faults.
+ * @param controlAddress - Address of its control server, if a link in front of it has the router's own address.
  */
 export async function startDirectSystem(
     t: OwningTest,
     endpointCount = 2,
     wrapStore = (store: KeyValueStore): KeyValueService => store,
+    controlAddress = ADDRESS,
 ): Promise<DirectSystem> {
     const store = createKeyValueStore();
     const lines: string[] = [];
@@ -84,6 +86,7 @@
         Array.from({ length: endpointCount }, () => startEndpointStandin((seen, socket) => socket.destroy())),
     );
     const settings = buildSettings(ADDRESS, await findFreePorts(5));
+    settings.listen.control.address = controlAddress;
     await writeDocument(1);
     for (const index of endpoints.keys()) {
         await writeEndpoint(index);
@@ -127,12 +130,14 @@
 /**
  * Starts a second router of a system, on the same ports of another loopback address.
  * @param service - Store that this router uses.
+ * @param controlAddress - Address of its control server, if a link in front of it has the router's own address.
  */
 export async function startSecondRouter(
     t: OwningTest,
     system: DirectSystem,
     address: string,
     service: KeyValueService,
+    controlAddress = address,
 ): Promise<DirectSystem> {
     const lines: string[] = [];
     const logger = createLogger("r2", { writeLine: line => lines.push(line), flush: () => Promise.resolve() });
@@ -140,6 +145,7 @@
     const ports = [listen.callers, listen.readiness, listen.control, listen.metrics].map(place => place?.port ?? 0);
     const seeds = [{ address: system.address, port: listen.control.port }];
     const settings: DirectSettings = { ...buildSettings(address, [...ports, newsPort]), host: "r2", seeds };
+    settings.listen.control.address = controlAddress;
     const platform = { service, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
     const router = await startDirectRouter(settings, platform, logger);
     t.teardown(() => router.stop());
@@ -164,6 +170,7 @@
         processKey: "key-of-the-tests",
         retries: { ratio: 0.2, burst: 1_000, windowMs: 10_000 },
         drain: { noticeMs: 300, graceMs: 3_000 },
+        applyMs: 2_000,
         leavingMs: 2_000,
         lapseGraceMs: 2_000,
     };
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -3,6 +3,7 @@
 import { startControlServer } from "../../src/control/index.js";
 import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
 import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
+import { createDocumentKnowledge } from "../../src/direct/DocumentKnowledge.js";
 import { createEndpointKnowledge } from "../../src/direct/EndpointKnowledge.js";
 import { startPeerFallback } from "../../src/direct/PeerFallback.js";
 import { createRouteIndexHolder } from "../../src/direct/RouteIndexHolder.js";
@@ -60,6 +61,7 @@
         directory,
         ownZone: "a",
         knowledge,
+        documentKnowledge: createDocumentKnowledge(() => holder.getVersion()),
         isReadingStore: () => ownAgeMs === PLATFORM_AGE_MS,
         logger: createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() }),
     });
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -29,6 +29,7 @@
             host: address,
             zone,
             version: 3,
+            documentAgeMs: 0,
             platformAgeMs: 0,
             platformUpMs: 0,
             endpointRevision: 0,
