Store duty and denials go by the age of the document, not by that of the endpoints

Callers: while the calls on the document hung or failed at the router that reads the store for its zone, and those on endpoints were answered, the zone stayed on an old version: dropped routes and keys were served, added ones answered 404 and 401. Cause: who reads the store, and whether a router may deny a route or a key, was decided by the answers on endpoints alone. The document's watch waited 2.5 s and 0.7 s for its answer in deployments whose changes must be in force within 2 s. Change: a router whose document is unconfirmed for 0.7 of the bound reads the store itself; one whose document's calls hang yields the duty; a router that knows a higher version, or has had no confirmation for 0.75 of the bound, answers 503 with a delay instead of 404 and 401. The watch of the document waits half of the bound at most. On deployments with a bound of 2 s the watch of a zone now makes a call a second, not one each 2.5 s.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -16,8 +16,8 @@
 /** A router's view of routes, endpoints and load, kept up to date from the platform and from other routers. */
 export interface ClusterView {
     /**
-     * Returns whether the active document may be outdated: the platform has not answered lately, and no peer that has
-     * reached it confirms the version.
+     * Returns whether the active document may be outdated: a higher version is known, or the platform has confirmed the
+     * active one neither to this router nor to a peer lately.
      */
     isDocumentStale(): boolean;
     /**
@@ -62,6 +62,13 @@
  * above the period of the watch of the routers that do, and the bound holds for a call that starts then.
  */
 const MAX_KNOWLEDGE_AGE_FRACTION = 0.4;
+/**
+ * Fraction of `applyMs` that a router's document may be unconfirmed before the router reads the store itself. It is above the
+ * wait of the watch of the routers that do, and the rest is enough for a call that starts then.
+ */
+const MAX_DOCUMENT_AGE_FRACTION = 0.7;
+/** Fraction of `applyMs` from which an unconfirmed document may lack a route or a key that is in force elsewhere. */
+const STALE_DOCUMENT_FRACTION = 0.75;
 /** Maximum age of a peer's message that is used to judge the platform's state, in milliseconds. */
 const MAX_PEER_MESSAGE_AGE_MS = 1_000;
 
@@ -143,6 +150,8 @@
             own: settings,
             knowledgeAgeMs: knowledge.getAgeMs(),
             maxKnowledgeAgeMs: MAX_KNOWLEDGE_AGE_FRACTION * settings.leavingMs,
+            documentAgeMs: documentKnowledge.getAgeMs(),
+            maxDocumentAgeMs: MAX_DOCUMENT_AGE_FRACTION * settings.applyMs,
             maxSilenceMs: PLATFORM_SILENCE_MS,
             peers: gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS),
         });
@@ -180,11 +189,9 @@
     }
 
     function isDocumentStale(): boolean {
-        if (storeSync.getAgeMs() < PLATFORM_SILENCE_MS) {
-            return false;
-        }
-        const isFresh = (age: number): boolean => age >= 0 && age < PLATFORM_SILENCE_MS;
-        const peers = gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS);
-        return !peers.some(peer => isFresh(peer.endpointAgeMs) && peer.version <= holder.getVersion());
+        return (
+            documentKnowledge.getBehindMs() > 0 ||
+            documentKnowledge.getAgeMs() >= STALE_DOCUMENT_FRACTION * settings.applyMs
+        );
     }
 }
--- a/src/direct/DocumentKnowledge.ts
+++ b/src/direct/DocumentKnowledge.ts
@@ -25,19 +25,22 @@
 export function createDocumentKnowledge(getVersion: () => number): DocumentKnowledge {
     let confirmedVersion = 0;
     let confirmedAt = Number.NEGATIVE_INFINITY;
+    /** Time of the last confirmation of the active version while `confirmedVersion` is higher. */
+    let activeConfirmedAt = Number.NEGATIVE_INFINITY;
     let heardVersion = 0;
     let behindSince = 0;
     return {
         recordConfirmed(version, ageMs) {
             if (version >= confirmedVersion) {
                 const at = readMonotonicMs() - ageMs;
+                activeConfirmedAt = confirmedVersion <= getVersion() ? confirmedAt : activeConfirmedAt;
                 confirmedAt = version > confirmedVersion ? at : Math.max(confirmedAt, at);
                 confirmedVersion = version;
             }
             recordHeard(version);
         },
         recordHeard,
-        getAgeMs: () => (confirmedVersion <= getVersion() ? readMonotonicMs() - confirmedAt : Number.POSITIVE_INFINITY),
+        getAgeMs: () => readMonotonicMs() - (confirmedVersion <= getVersion() ? confirmedAt : activeConfirmedAt),
         getHeardVersion: () => heardVersion,
         getBehindMs: () => (heardVersion > getVersion() ? readMonotonicMs() - behindSince : 0),
     };
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -13,7 +13,7 @@
 import type { EndpointKnowledge } from "./EndpointKnowledge.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
-import { computeWatchTimes } from "./computeWatchTimes.js";
+import { computeDocumentWatchTimes, computeWatchTimes } from "./computeWatchTimes.js";
 
 /** Options of the synchronisation with the store. */
 export interface StoreSyncOptions {
@@ -36,18 +36,13 @@
 
 /** Synchronises routes and endpoints with the platform's key-value service. */
 export interface StoreSync {
-    /** Time since the service last answered an endpoint call, in milliseconds. */
+    /** Time for which the service has not answered the calls on endpoints or those on the document, in milliseconds. */
     getAgeMs(): number;
     /** Whether this router reads the service itself. */
     isReading(): boolean;
     stop(): Promise<void>;
 }
 
-/** Maximum wait of a document watch, in milliseconds; peers announce a version that this router has missed. */
-const DOCUMENT_MAX_WAIT_MS = 2_500;
-const DOCUMENT_PERIOD_MS = 50;
-/** Answer timeout of a document watch after its wait, in milliseconds; equals the store client's timeout. */
-const DOCUMENT_ANSWER_TIMEOUT_MS = 700;
 /** Interval at which a router checks whether it is to read the service, in milliseconds. */
 const DUTY_CHECK_MS = 50;
 /** Fraction of `leavingMs` without an answer on endpoints, or of `applyMs` without news of the document, that is logged. */
@@ -59,7 +54,9 @@
  */
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
     const { service, codec, holder, directory, logger } = options;
+    const documentTimes = computeDocumentWatchTimes(options.applyMs);
     let answeredAt = Number.NEGATIVE_INFINITY;
+    let documentAnsweredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
     let isDown = false;
     /** The store's newest document can't be read, so the active one is not the newest. */
@@ -72,9 +69,7 @@
     const documentWatcher: PrefixWatcher = startPrefixWatcher({
         service,
         prefix: codec.documentPrefix,
-        waitMs: DOCUMENT_MAX_WAIT_MS,
-        periodMs: DOCUMENT_PERIOD_MS,
-        answerTimeoutMs: DOCUMENT_ANSWER_TIMEOUT_MS,
+        ...documentTimes,
         isPaused,
         listener: {
             onListing: entries => entries.forEach(applyDocument),
@@ -109,7 +104,7 @@
         error => logger.logFailure(EventId.TaskFailed, error, { task: "store duty" }),
     );
     return {
-        getAgeMs: () => readMonotonicMs() - answeredAt,
+        getAgeMs: readAgeMs,
         isReading: () => isReading,
         async stop() {
             await Promise.all([dutyLoop.stop(), documentWatcher.stop(), endpointWatcher.stop()]);
@@ -130,6 +125,12 @@
         isDocumentNewsLate = isLate;
     }
 
+    /** The wait of a watch of the document is no silence. */
+    function readAgeMs(): number {
+        const now = readMonotonicMs();
+        return Math.max(now - answeredAt, now - documentAnsweredAt - documentTimes.waitMs);
+    }
+
     function updateDuty(): void {
         const isOnDuty = options.isOnDuty();
         if (isOnDuty === isReading) {
@@ -158,6 +159,7 @@
     }
 
     function confirmDocument(): void {
+        documentAnsweredAt = readMonotonicMs();
         if (!isDocumentRejected && holder.getVersion() > 0) {
             options.documentKnowledge.recordConfirmed(holder.getVersion(), 0);
         }
--- a/src/direct/computeWatchTimes.ts
+++ b/src/direct/computeWatchTimes.ts
@@ -1,4 +1,4 @@
-/** Times of the watch of the endpoints, in milliseconds. */
+/** Times of a watch, in milliseconds. */
 export interface WatchTimes {
     /** Minimum time between the starts of two calls. */
     periodMs: number;
@@ -23,6 +23,24 @@
  */
 const MAX_GAP_MS = 1_200;
 
+/** Fractions of the time within which a change of the document must be in force; the rest is for its way to the other routers. */
+const DOCUMENT_WAIT_FRACTION = 0.5;
+const DOCUMENT_ANSWER_FRACTION = 0.3;
+const DOCUMENT_PERIOD_MS = 50;
+const MAX_DOCUMENT_WAIT_MS = 2_500;
+
+/**
+ * Computes the times of the watch of the routing document.
+ * @param applyMs - Maximum time until a change is in force on every router, in milliseconds.
+ */
+export function computeDocumentWatchTimes(applyMs: number): WatchTimes {
+    return {
+        periodMs: DOCUMENT_PERIOD_MS,
+        waitMs: Math.min(MAX_DOCUMENT_WAIT_MS, DOCUMENT_WAIT_FRACTION * applyMs),
+        answerTimeoutMs: Math.min(MAX_ANSWER_TIMEOUT_MS, DOCUMENT_ANSWER_FRACTION * applyMs),
+    };
+}
+
 /**
  * Computes the times of the watch of the endpoints.
  * @param leavingMs - Maximum time until a leaving endpoint is recognised, in milliseconds.
--- a/src/direct/storeDuty.ts
+++ b/src/direct/storeDuty.ts
@@ -5,7 +5,7 @@
     address: string;
     zone: string;
     isLeaving: boolean;
-    /** Time since the store last answered the router itself, in milliseconds; -1 if it never did. */
+    /** Time for which the store has not answered the router itself, in milliseconds; -1 if it never did. */
     platformAgeMs: number;
 }
 
@@ -16,6 +16,9 @@
     knowledgeAgeMs: number;
     /** Age from which a router reads the store itself, whoever else does, in milliseconds. */
     maxKnowledgeAgeMs: number;
+    /** Age of this router's document, and age from which a router reads the store itself, in milliseconds. */
+    documentAgeMs: number;
+    maxDocumentAgeMs: number;
     /** Time without an answer of the store after which the next router of the zone takes over, in milliseconds. */
     maxSilenceMs: number;
     /** Routers that were heard from lately. */
@@ -25,12 +28,12 @@
 /**
  * Tells whether a router reads the store itself instead of learning from its peers. In each zone, the first router in a
  * fixed order that has recent answers of the store does, so that the load of the store does not grow with the number of
- * routers. Any router whose list is too old does too: no failure of others makes it miss a change for longer.
+ * routers. Any router whose list or document is too old does too: no failure of others makes it miss a change for longer.
  * @param options - This router and its peers.
  */
 export function isOnStoreDuty(options: DutyOptions): boolean {
     const { own, peers, maxSilenceMs } = options;
-    if (options.knowledgeAgeMs >= options.maxKnowledgeAgeMs) {
+    if (options.knowledgeAgeMs >= options.maxKnowledgeAgeMs || options.documentAgeMs >= options.maxDocumentAgeMs) {
         return true;
     }
     const hasRecentAnswer = ({ platformAgeMs }: DutyRouter): boolean =>
