--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -1,4 +1,4 @@
-import { type TRPCClient, createTRPCClient, createWSClient, wsLink } from "@trpc/client";
+import { type TRPCClient, TRPCClientError, createTRPCClient, createWSClient, wsLink } from "@trpc/client";
 import type { AnyTRPCRouter } from "@trpc/server";
 import { WebSocket } from "ws";
 import { ErrorCode, createError } from "../errors/index.js";
@@ -68,7 +68,8 @@
                 });
             }
             const got = error instanceof Error ? error.message : String(error);
-            throw createError({ code: ErrorCode.Unreachable, expected: `an answer of ${address}`, got, cause: error });
+            const code = isProcedureMissing(error) ? ErrorCode.NotSupported : ErrorCode.Unreachable;
+            throw createError({ code, expected: `an answer of ${address}`, got, cause: error });
         } finally {
             clearTimeout(timer);
         }
@@ -92,6 +93,10 @@
     }
 }
 
+function isProcedureMissing(error: unknown): boolean {
+    return error instanceof TRPCClientError && (error.data as { code?: string } | undefined)?.code === "NOT_FOUND";
+}
+
 function isSilence(error: unknown): boolean {
     return error instanceof Error && error.name === ErrorCode.Timeout;
 }
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -6,6 +6,7 @@
 import type { DirectContext } from "./DirectContext.js";
 import type { DirectSettings } from "./DirectSettings.js";
 import { type PeerFallback, startPeerFallback } from "./PeerFallback.js";
+import { type DocumentReply, type DocumentRequest, createDocumentServer } from "./DocumentServer.js";
 import { createDocumentKnowledge } from "./DocumentKnowledge.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
 import { PLATFORM_SILENCE_MS, createEndpointKnowledge } from "./EndpointKnowledge.js";
@@ -25,6 +26,8 @@
      * @param knownVersion - Version of the other router's routes.
      */
     getSnapshot(knownVersion: number): RouterSnapshot;
+    /** Answers another router's request for parts of the document; undefined without a document. */
+    answerDocumentRequest(request: DocumentRequest): DocumentReply | undefined;
     /** Whether this router reads the store itself instead of learning from its peers. */
     isReadingStore(): boolean;
     /**
@@ -67,6 +70,11 @@
  * wait of the watch of the routers that do, and the rest is enough for a call that starts then.
  */
 const MAX_DOCUMENT_AGE_FRACTION = 0.7;
+/**
+ * Fraction of `applyMs` for which a router may know of a higher version without getting it from its peers, before it reads the
+ * store itself.
+ */
+const MAX_DOCUMENT_BEHIND_FRACTION = 0.4;
 /** Fraction of `applyMs` from which an unconfirmed document may lack a route or a key that is in force elsewhere. */
 const STALE_DOCUMENT_FRACTION = 0.75;
 /** Maximum age of a peer's message that is used to judge the platform's state, in milliseconds. */
@@ -81,6 +89,7 @@
     const { directory, load, suspects, quarantine } = context;
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
+    const documentServer = createDocumentServer(() => holder.getIndex()?.document);
     let isLeaving = false;
     const storeSync: StoreSync = startStoreSync({
         service,
@@ -112,6 +121,7 @@
         holder,
         directory,
         ownZone: settings.zone,
+        applyMs: settings.applyMs,
         knowledge,
         documentKnowledge,
         isReadingStore: () => storeSync.isReading(),
@@ -125,6 +135,7 @@
             endpointRevision: knowledge.getRevision(),
             endpointAgeMs: roundAge(knowledge.getAgeMs()),
         }),
+        answerDocumentRequest: request => documentServer.answerRequest(request),
         isReadingStore: () => storeSync.isReading(),
         getStoreUptimeMs: () =>
             Math.max(
@@ -152,6 +163,8 @@
             maxKnowledgeAgeMs: MAX_KNOWLEDGE_AGE_FRACTION * settings.leavingMs,
             documentAgeMs: documentKnowledge.getAgeMs(),
             maxDocumentAgeMs: MAX_DOCUMENT_AGE_FRACTION * settings.applyMs,
+            documentBehindMs: documentKnowledge.getBehindMs(),
+            maxDocumentBehindMs: MAX_DOCUMENT_BEHIND_FRACTION * settings.applyMs,
             maxSilenceMs: PLATFORM_SILENCE_MS,
             peers: gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS),
         });
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -1,8 +1,11 @@
 import { type ControlClient, createControlClient } from "../control/index.js";
+import { ErrorCode, hasErrorCode } from "../errors/index.js";
 import type { PeerGossip, GossipMessage } from "../peers/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
+import { createDocumentFetcher } from "./DocumentFetcher.js";
 import type { DocumentKnowledge } from "./DocumentKnowledge.js";
+import type { DocumentReply } from "./DocumentServer.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import { type EndpointKnowledge, PLATFORM_SILENCE_MS } from "./EndpointKnowledge.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
@@ -20,6 +23,8 @@
     gossip: PeerGossip;
     holder: RouteIndexHolder;
     directory: EndpointDirectory;
+    /** Maximum time until a change of the document is in force, in milliseconds. */
+    applyMs: number;
     knowledge: EndpointKnowledge;
     documentKnowledge: DocumentKnowledge;
     /** Tells whether this router reads the store itself. */
@@ -38,6 +43,17 @@
 const CALL_TIMEOUT_MS = 700;
 /** Maximum time since the platform confirmed a peer's list for it to be fetched, in milliseconds. */
 const MAX_PEER_PLATFORM_AGE_MS = 2_000;
+/** Fraction of `applyMs` after which a call for parts of the document has failed. */
+const DOCUMENT_CALL_FRACTION = 0.15;
+/**
+ * Fraction of `applyMs` for which a higher version is expected from a router of the same zone before one of another zone is
+ * asked, whose traffic is charged.
+ */
+const OWN_ZONE_FRACTION = 0.2;
+/** Time for which a router that failed to send its document is not asked again, in milliseconds. */
+const FAILED_PEER_MS = 1_000;
+/** Known version that makes a peer's snapshot come without its document. */
+const NO_DOCUMENT_VERSION = Number.MAX_SAFE_INTEGER;
 
 /**
  * Starts the peer fallback.
@@ -46,7 +62,11 @@
 export function startPeerFallback(options: PeerFallbackOptions): PeerFallback {
     const { holder, directory, knowledge, logger } = options;
     const clients = new Map<string, ControlClient<DirectControl>>();
+    const fetcher = createDocumentFetcher(holder);
+    /** Monotonic times until which peers are not asked for the document, in milliseconds. */
+    const avoidedPeers = new Map<string, number>();
     let isFetching = false;
+    let isFetchingDocument = false;
     const loop: Loop = startLoop(CHECK_PERIOD_MS, fetchIfPlatformSilent, error =>
         logger.logFailure(EventId.TaskFailed, error, { task: "peer fallback" }),
     );
@@ -69,12 +89,25 @@
         if (message.endpointAgeMs >= 0 && areEndpointsEqual && message.endpointRevision >= knowledge.getRevision()) {
             knowledge.recordRevision(message.endpointRevision, message.endpointAgeMs);
         }
-        const isWanted = areEndpointsNewer && !areEndpointsEqual && canFetchEndpoints(message.zone);
-        if ((message.version > holder.getVersion() || isWanted) && !isFetching) {
-            void fetchSnapshot(`${message.address}:${options.controlPort}`);
+        const address = `${message.address}:${options.controlPort}`;
+        if (areEndpointsNewer && !areEndpointsEqual && canFetchEndpoints(message.zone) && !isFetching) {
+            void fetchSnapshot(address, NO_DOCUMENT_VERSION);
+        }
+        if (message.version > holder.getVersion() && canFetchDocument(address, message.zone)) {
+            void fetchDocument(address);
         }
     }
 
+    function canFetchDocument(address: string, zone: string): boolean {
+        const now = readMonotonicMs();
+        const isZoneLate = options.documentKnowledge.getBehindMs() >= OWN_ZONE_FRACTION * options.applyMs;
+        return (
+            !isFetchingDocument &&
+            (avoidedPeers.get(address) ?? Number.NEGATIVE_INFINITY) <= now &&
+            (zone === options.ownZone || isZoneLate || holder.getVersion() === 0)
+        );
+    }
+
     /**
      * A router that reads the store, or one of another zone, is asked only while the store is silent: then any peer may know of
      * changes that this router, perhaps restarted, has missed.
@@ -89,9 +122,14 @@
             return;
         }
         const address = choosePeer();
-        if (address !== undefined) {
-            await fetchSnapshot(address);
+        if (address === undefined) {
+            return;
+        }
+        const isDocumentWanted = holder.getVersion() === 0 || options.documentKnowledge.getBehindMs() > 0;
+        if (isDocumentWanted && !isFetchingDocument) {
+            await fetchDocument(address);
         }
+        await fetchSnapshot(address, NO_DOCUMENT_VERSION);
     }
 
     /**
@@ -114,26 +152,57 @@
             : seeds[Math.floor(readMonotonicMs() / CHECK_PERIOD_MS) % seeds.length];
     }
 
-    async function fetchSnapshot(address: string): Promise<void> {
+    async function fetchDocument(address: string): Promise<void> {
+        isFetchingDocument = true;
+        const startedAt = readMonotonicMs();
+        try {
+            await fetcher.fetchDocument(address, digests =>
+                getClient(address).call(
+                    (control, signal) =>
+                        control.getDocument.query({ address: options.ownAddress, digests }, { signal }) as Promise<
+                            DocumentReply | undefined
+                        >,
+                    DOCUMENT_CALL_FRACTION * options.applyMs,
+                ),
+            );
+        } catch (error) {
+            if (hasErrorCode(error, ErrorCode.NotSupported)) {
+                // Routers of earlier versions send their document only as a whole.
+                await fetchSnapshot(address, holder.getVersion());
+            } else {
+                avoidedPeers.set(address, readMonotonicMs() + FAILED_PEER_MS);
+                logFailure(error, address, startedAt);
+            }
+        } finally {
+            isFetchingDocument = false;
+        }
+    }
+
+    /** Fetches the endpoints of a peer, and its document if that is newer than a known version. */
+    async function fetchSnapshot(address: string, knownVersion: number): Promise<void> {
         isFetching = true;
         const startedAt = readMonotonicMs();
         try {
             const client = getClient(address);
             const snapshot = await client.call<RouterSnapshot>(
                 (control, signal) =>
-                    control.getKnowledge.query({ version: holder.getVersion() }, { signal }) as Promise<RouterSnapshot>,
+                    control.getKnowledge.query({ version: knownVersion }, { signal }) as Promise<RouterSnapshot>,
                 CALL_TIMEOUT_MS,
             );
             applySnapshot(snapshot, address);
         } catch (error) {
-            const lastedMs = Math.round(readMonotonicMs() - startedAt);
-            const behindMs = Math.round(options.documentKnowledge.getBehindMs());
-            logger.logFailure(EventId.PeerUnreachable, error, { peer: address, lastedMs, behindMs });
+            logFailure(error, address, startedAt);
         } finally {
             isFetching = false;
         }
     }
 
+    function logFailure(error: unknown, peer: string, startedAt: number): void {
+        const lastedMs = Math.round(readMonotonicMs() - startedAt);
+        const behindMs = Math.round(options.documentKnowledge.getBehindMs());
+        logger.logFailure(EventId.PeerUnreachable, error, { peer, lastedMs, behindMs });
+    }
+
     function applySnapshot(snapshot: RouterSnapshot, address: string): void {
         if (snapshot.document !== undefined) {
             holder.applyDocument(snapshot.document, address);
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -45,8 +45,11 @@
 
 /** Interval at which a router checks whether it is to read the service, in milliseconds. */
 const DUTY_CHECK_MS = 50;
-/** Fraction of `leavingMs` without an answer on endpoints, or of `applyMs` without news of the document, that is logged. */
-const LATE_NEWS_FRACTION = 0.5;
+/** Fraction of `leavingMs` without an answer from which the gap is logged. */
+const LATE_ANSWER_FRACTION = 0.5;
+/** Fractions of `applyMs` that the document is unconfirmed, or a higher version is known, from which this is logged. */
+const LATE_CONFIRMATION_FRACTION = 0.75;
+const LATE_DOCUMENT_FRACTION = 0.5;
 
 /**
  * Starts the synchronisation.
@@ -115,8 +118,8 @@
         const { documentKnowledge, applyMs } = options;
         const ageMs = documentKnowledge.getAgeMs();
         const behindMs = documentKnowledge.getBehindMs();
-        const isLate = holder.getVersion() > 0 && Math.max(ageMs, behindMs) > LATE_NEWS_FRACTION * applyMs;
-        if (isLate && !isDocumentNewsLate) {
+        const isLate = ageMs > LATE_CONFIRMATION_FRACTION * applyMs || behindMs > LATE_DOCUMENT_FRACTION * applyMs;
+        if (isLate && !isDocumentNewsLate && holder.getVersion() > 0) {
             const heard = documentKnowledge.getHeardVersion();
             const facts = { version: holder.getVersion(), heard, isReading };
             const times = { ageMs: roundAge(ageMs), behindMs: Math.round(behindMs) };
@@ -200,7 +203,7 @@
     }
 
     function logLateAnswer(gapMs: number): void {
-        if (Number.isFinite(gapMs) && gapMs > LATE_NEWS_FRACTION * options.leavingMs) {
+        if (Number.isFinite(gapMs) && gapMs > LATE_ANSWER_FRACTION * options.leavingMs) {
             logger.logEvent(EventId.EndpointNewsLate, { gapMs: Math.round(gapMs), revision: endpointRevision });
         }
     }
--- a/src/direct/directControl.ts
+++ b/src/direct/directControl.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { RoutingDocument } from "./RoutingDocument.js";
 import { buildRouter, processProcedure } from "../control/index.js";
+import type { DocumentReply, DocumentRequest } from "./DocumentServer.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 
 /** Routes and endpoints known to a router, for another router that can't reach the platform. */
@@ -17,16 +18,30 @@
     endpointAgeMs: number | undefined;
 }
 
+/** What the control procedures give to other routers. */
+export interface DirectControlSource {
+    /** Gets the endpoints known to this router, and its routes if they have a higher version than the given one. */
+    getSnapshot(version: number): RouterSnapshot;
+    /** Answers a request for parts of the document; undefined without a document. */
+    answerDocumentRequest(request: DocumentRequest): DocumentReply | undefined;
+}
+
+/** Maximum number of digests in a request. */
+const MAX_DIGESTS = 1_000;
+
 /**
  * Builds the control procedures of a direct router.
- * @param getSnapshot - Gets the endpoints known to this router, and its routes if they have a higher version than the given one.
+ * @param source - What this router knows.
  */
-export function buildDirectControl(getSnapshot: (version: number) => RouterSnapshot) {
+export function buildDirectControl(source: DirectControlSource) {
     return buildRouter({
+        getDocument: processProcedure
+            .input(z.object({ address: z.ipv4(), digests: z.array(z.string()).max(MAX_DIGESTS) }))
+            .query(({ input }) => source.answerDocumentRequest(input)),
         getKnowledge: processProcedure
             // Routers of earlier versions call without an input.
             .input(z.object({ version: z.number().int() }).optional())
-            .query(({ input }) => getSnapshot(input?.version ?? 0)),
+            .query(({ input }) => source.getSnapshot(input?.version ?? 0)),
     });
 }
 
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -93,7 +93,7 @@
         settings,
         callers,
         metrics: metrics.set,
-        control: buildDirectControl(knowledge.getSnapshot),
+        control: buildDirectControl(knowledge),
         isServing: () => !isDraining && holder.getIndex() !== undefined && context.directory.countRecords() > 0,
     });
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
--- a/src/direct/storeDuty.ts
+++ b/src/direct/storeDuty.ts
@@ -19,6 +19,9 @@
     /** Age of this router's document, and age from which a router reads the store itself, in milliseconds. */
     documentAgeMs: number;
     maxDocumentAgeMs: number;
+    /** Time for which this router has known of a higher version, and maximum of it, in milliseconds. */
+    documentBehindMs: number;
+    maxDocumentBehindMs: number;
     /** Time without an answer of the store after which the next router of the zone takes over, in milliseconds. */
     maxSilenceMs: number;
     /** Routers that were heard from lately. */
@@ -33,7 +36,11 @@
  */
 export function isOnStoreDuty(options: DutyOptions): boolean {
     const { own, peers, maxSilenceMs } = options;
-    if (options.knowledgeAgeMs >= options.maxKnowledgeAgeMs || options.documentAgeMs >= options.maxDocumentAgeMs) {
+    const isOutdated =
+        options.knowledgeAgeMs >= options.maxKnowledgeAgeMs ||
+        options.documentAgeMs >= options.maxDocumentAgeMs ||
+        options.documentBehindMs >= options.maxDocumentBehindMs;
+    if (isOutdated) {
         return true;
     }
     const hasRecentAnswer = ({ platformAgeMs }: DutyRouter): boolean =>
--- a/src/errors/ErrorCode.ts
+++ b/src/errors/ErrorCode.ts
@@ -6,6 +6,8 @@
     PlatformUncertain = "PlatformUncertain",
     /** The service has dropped the history that a watch asks for; a new listing is needed. */
     HistoryLost = "HistoryLost",
+    /** The other process, of an earlier version, doesn't have the procedure. */
+    NotSupported = "NotSupported",
     Unreachable = "Unreachable",
     Refused = "Refused",
     Timeout = "Timeout",
--- a/standins/network/linkStandin.ts
+++ b/standins/network/linkStandin.ts
@@ -23,6 +23,8 @@
 export interface LinkStandin {
     port: number;
     faults: LinkFaults;
+    /** Counts the bytes that the server has sent. */
+    countServerBytes(): number;
     /** Loses all data of the connections that are open now; new ones work. */
     silenceOpen(): void;
     cut(): void;
@@ -48,11 +50,13 @@
     const connections = new Set<Connection>();
     /** Monotonic time until which the link is busy with the server's data, in milliseconds. */
     let busyUntil = 0;
+    let serverBytes = 0;
     const server = net.createServer(near => openConnection(near));
     await new Promise<void>(resolve => server.listen(places.port ?? 0, places.address ?? LOOPBACK, resolve));
     return {
         port: (server.address() as net.AddressInfo).port,
         faults,
+        countServerBytes: () => serverBytes,
         silenceOpen() {
             connections.forEach(connection => {
                 connection.isSilent = true;
@@ -92,6 +96,7 @@
         const pieces: { dueAt: number; run: () => void }[] = [];
         from.setNoDelay(true);
         from.on("data", (chunk: Buffer) => {
+            serverBytes += from === connection.far ? chunk.length : 0;
             if (faults.bytesPerSecond === undefined || from === connection.near) {
                 send(() => to.write(chunk));
             } else {
--- a/tests/direct/documentSpreadTests.ts
+++ b/tests/direct/documentSpreadTests.ts
@@ -4,9 +4,9 @@
 import { EventId } from "../../src/telemetry/EventId.js";
 import { buildList } from "../../src/utils/list.js";
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
-import { startLinkStandin } from "../../standins/network/linkStandin.js";
+import { type LinkStandin, startLinkStandin } from "../../standins/network/linkStandin.js";
 import type { OwningTest } from "../fixtures.js";
-import { type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
+import { type DirectSystem, type WireDocument, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
 
 /** Bound until a document is in force of the deployments with narrow links, and of the others, in milliseconds. */
 const LINKED_APPLY_MS = 3_000;
@@ -15,31 +15,67 @@
 const LINK_BYTES_PER_SECOND = 3_500_000;
 const ROUTERS = 11;
 const ADDED_ROUTES = 1_640;
+/** Allowed for control at the size aimed at: bytes a second and host, with that many changes of the configuration a second. */
+const CONTROL_BYTES_PER_SECOND = 19_000;
+const CHANGES_PER_SECOND = 36_000 / 86_400;
 const OBSERVATION_MS = 8_000;
 const SETTLE_MS = 2_500;
 const POLL_MS = 20;
 
+/** A router's store whose calls on the document can be made to hang or to fail, while those on endpoints are answered. */
+function createFaultyStore(store: DirectSystem["store"]) {
+    const service = Object.create(store) as KeyValueService;
+    const faulty = { service, documentCalls: 0, isHanging: false, isFailing: false };
+    const call = async <T>(prefix: string, run: () => Promise<T>, signal?: AbortSignal): Promise<T> => {
+        if (!prefix.startsWith("op/")) {
+            return run();
+        }
+        faulty.documentCalls++;
+        if (faulty.isHanging) {
+            await waitFor(OBSERVATION_MS, signal);
+        }
+        if (faulty.isHanging || faulty.isFailing) {
+            throw createError({ code: ErrorCode.PlatformUncertain, expected: "an answer", got: "silence" });
+        }
+        return run();
+    };
+    service.watchEntries = (prefix, after, waitMs, signal) =>
+        call(prefix, () => store.watchEntries(prefix, after, waitMs, signal), signal);
+    service.listSnapshot = prefix => call(prefix, () => store.listSnapshot(prefix));
+    return faulty;
+}
+
 /** Starts the routers of one zone, each behind a link of its own. */
-async function startLinkedZone(
-    t: OwningTest,
-    wrapStore: (store: DirectSystem["store"]) => KeyValueService = store => store,
-): Promise<DirectSystem[]> {
-    const first = await startDirectSystem(t, 1, wrapStore, "127.0.1.1");
+async function startLinkedZone(t: OwningTest) {
+    const stores: ReturnType<typeof createFaultyStore>[] = [];
+    const links: LinkStandin[] = [];
+    const first = await startDirectSystem(t, 1, createStore, "127.0.1.1");
     const { port } = first.settings.listen.control;
     const systems = [first];
     await startLink(1);
     for (const index of buildList(ROUTERS - 1, place => place + 2)) {
         await startLink(index);
-        const service = wrapStore(first.store);
+        const service = createStore(first.store);
         systems.push(await startSecondRouter(t, first, `127.0.0.${index}`, service, `127.0.1.${index}`));
     }
     await waitFor(SETTLE_MS);
-    return systems;
+    return {
+        systems,
+        countDocumentCalls: () => stores.map(({ documentCalls }) => documentCalls),
+        countSentBytes: () => links.reduce((sum, link) => sum + link.countServerBytes(), 0),
+    };
+
+    function createStore(store: DirectSystem["store"]): KeyValueService {
+        const counted = createFaultyStore(store);
+        stores.push(counted);
+        return counted.service;
+    }
 
     async function startLink(index: number): Promise<void> {
         const places = { address: `127.0.0.${index}`, port, targetAddress: `127.0.1.${index}` };
         const link = await startLinkStandin(port, places);
         link.faults.bytesPerSecond = LINK_BYTES_PER_SECOND;
+        links.push(link);
         t.teardown(() => link.close());
     }
 }
@@ -64,43 +100,39 @@
     return readMonotonicMs() - startedAt;
 }
 
+/** Adds routes to a document of the tests. */
+function addRoutes(document: WireDocument, count: number): void {
+    const [base] = document.routes;
+    const added = buildList(count, index => ({ ...base, name: `added-${index}`, path_prefix: `/added-${index}/` }));
+    document.routes.push(...added);
+}
+
 t.test("a large document reaches all routers of a zone in time over narrow links", async t => {
-    const systems = await startLinkedZone(t);
-    await systems[0]?.writeDocument(2, document => {
-        const [base] = document.routes;
-        const added = buildList(ADDED_ROUTES, index => ({
-            ...base,
-            name: `added-${index}`,
-            path_prefix: `/added-${index}/`,
-        }));
-        document.routes.push(...added);
-    });
+    const { systems } = await startLinkedZone(t);
+    await systems[0]?.writeDocument(2, document => addRoutes(document, ADDED_ROUTES));
     const lastMs = await waitForVersion(systems, 2);
     t.ok(lastMs <= LINKED_APPLY_MS, `in force after ${Math.round(lastMs)} ms`);
 });
 
-/** A router's store whose calls on the document can be made to hang or to fail, while those on endpoints are answered. */
-function createFaultyStore(store: DirectSystem["store"]) {
-    const service = Object.create(store) as KeyValueService;
-    const faulty = { service, documentCalls: 0, isHanging: false, isFailing: false };
-    const call = async <T>(prefix: string, run: () => Promise<T>, signal?: AbortSignal): Promise<T> => {
-        if (!prefix.startsWith("op/")) {
-            return run();
-        }
-        faulty.documentCalls++;
-        if (faulty.isHanging) {
-            await waitFor(OBSERVATION_MS, signal);
-        }
-        if (faulty.isHanging || faulty.isFailing) {
-            throw createError({ code: ErrorCode.PlatformUncertain, expected: "an answer", got: "silence" });
-        }
-        return run();
-    };
-    service.watchEntries = (prefix, after, waitMs, signal) =>
-        call(prefix, () => store.watchEntries(prefix, after, waitMs, signal), signal);
-    service.listSnapshot = prefix => call(prefix, () => store.listSnapshot(prefix));
-    return faulty;
-}
+t.test("a change of a large document sends little, and one router reads it from the store", async t => {
+    const { systems, countDocumentCalls, countSentBytes } = await startLinkedZone(t);
+    await systems[0]?.writeDocument(2, document => addRoutes(document, ADDED_ROUTES));
+    await waitForVersion(systems, 2);
+    await waitFor(SETTLE_MS);
+    const callsBefore = countDocumentCalls();
+    const bytesBefore = countSentBytes();
+    const versions = [3, 4, 5, 6];
+    for (const version of versions) {
+        await systems[0]?.writeDocument(version, document => addRoutes(document, ADDED_ROUTES + version));
+        const lastMs = await waitForVersion(systems, version);
+        t.ok(lastMs <= LINKED_APPLY_MS, `in force after ${Math.round(lastMs)} ms`);
+    }
+    const readers = countDocumentCalls().filter((calls, index) => calls > (callsBefore[index] ?? 0) + 1);
+    t.equal(readers.length, 1, "routers that read the store");
+    const bytesPerChange = (countSentBytes() - bytesBefore) / versions.length / systems.length;
+    const allowedBytes = CONTROL_BYTES_PER_SECOND / CHANGES_PER_SECOND;
+    t.ok(bytesPerChange < allowedBytes, `${Math.round(bytesPerChange)} bytes a change and router`);
+});
 
 t.test("a document reaches all routers in time while the watch of the one that reads it hangs", async t => {
     const stores: ReturnType<typeof createFaultyStore>[] = [];
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -1,6 +1,8 @@
 import http from "node:http";
 import t from "tap";
-import { startControlServer } from "../../src/control/index.js";
+import { z } from "zod";
+import { buildRouter, processProcedure, startControlServer } from "../../src/control/index.js";
+import { createDocumentServer } from "../../src/direct/DocumentServer.js";
 import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
 import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
 import { createDocumentKnowledge } from "../../src/direct/DocumentKnowledge.js";
@@ -19,6 +21,7 @@
 const PLATFORM_AGE_MS = 5_000;
 const SETTLE_MS = 900;
 const PROMPT_MS = 200;
+const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
 function buildRecord(id: string): EndpointRecord {
     const place = { host: ADDRESS, port: 1, zone: "a", slots: 1 };
@@ -35,11 +38,24 @@
 ) {
     const server = http.createServer();
     const port = await listenOn(server, 0, ADDRESS);
+    const documentServer = createDocumentServer(() => peerSnapshot.document);
     const control = startControlServer(
         server,
-        buildDirectControl(() => peerSnapshot),
+        buildDirectControl({
+            getSnapshot: () => peerSnapshot,
+            answerDocumentRequest: request => documentServer.answerRequest(request),
+        }),
         [KEY],
     );
+    t.teardown(async () => {
+        control.close();
+        server.close();
+    });
+    return startFallback(t, port, ownRevision, ownAgeMs, peerAgeMs);
+}
+
+/** Starts the fallback of a router that has one peer. */
+function startFallback(t: OwningTest, port: number, ownRevision: number, ownAgeMs: number, peerAgeMs = 0) {
     const peerMessage = { address: ADDRESS, version: 0, endpointAgeMs: peerAgeMs } as GossipMessage;
     const directory = createEndpointDirectory({
         lapseGraceMs: 1,
@@ -60,16 +76,13 @@
         holder,
         directory,
         ownZone: "a",
+        applyMs: 2_000,
         knowledge,
         documentKnowledge: createDocumentKnowledge(() => holder.getVersion()),
         isReadingStore: () => ownAgeMs === PLATFORM_AGE_MS,
         logger: createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() }),
     });
-    t.teardown(async () => {
-        await fallback.stop();
-        control.close();
-        server.close();
-    });
+    t.teardown(() => fallback.stop());
     return { directory, holder, fallback, knowledge };
 }
 
@@ -79,8 +92,7 @@
 }
 
 t.test("a router without answers from the platform gets routes and endpoints from a peer", async t => {
-    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const document = { version: 4, routes: [], services: [], limits, teams: undefined };
+    const document = { version: 4, routes: [], services: [], limits: LIMITS, teams: undefined };
     const peerSnapshot = { document, endpoints: [buildRecord("1")], endpointRevision: 7, endpointAgeMs: 0 };
     const { directory, holder, knowledge } = await startDisconnectedRouter(t, peerSnapshot, 0);
     await waitFor(SETTLE_MS);
@@ -89,6 +101,29 @@
     t.equal(knowledge.getRevision(), 7);
 });
 
+t.test("a router takes the document of a router of an earlier version, which sends it only as a whole", async t => {
+    const server = http.createServer();
+    const port = await listenOn(server, 0, ADDRESS);
+    const document = { version: 4, routes: [], services: [], limits: LIMITS, teams: undefined };
+    const earlier = buildRouter({
+        getKnowledge: processProcedure.input(z.object({ version: z.number() }).optional()).query(({ input }) => ({
+            document: (input?.version ?? 0) < document.version ? document : undefined,
+            endpoints: [],
+            endpointRevision: 0,
+            endpointAgeMs: 0,
+        })),
+    });
+    const control = startControlServer(server, earlier, [KEY]);
+    const { holder, fallback } = startFallback(t, port, 5, 900);
+    t.teardown(async () => {
+        control.close();
+        server.close();
+    });
+    fallback.handleMessage(buildMessage({ version: 4, endpointRevision: 5 }));
+    await waitFor(PROMPT_MS);
+    t.equal(holder.getVersion(), 4);
+});
+
 t.test("a peer's older snapshot does not restore a removed endpoint", async t => {
     const peerSnapshot = {
         document: undefined,
--- a/tests/direct/storeDutyTests.ts
+++ b/tests/direct/storeDutyTests.ts
@@ -13,7 +13,7 @@
 import type { OwningTest } from "../fixtures.js";
 import { type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
 
-const LIMITS = { maxKnowledgeAgeMs: 800, maxDocumentAgeMs: 1_400, maxSilenceMs: 1_500 };
+const LIMITS = { maxKnowledgeAgeMs: 800, maxDocumentAgeMs: 1_400, maxDocumentBehindMs: 800, maxSilenceMs: 1_500 };
 /** Bound of the fixture's settings until a leaving endpoint gets no more requests, in milliseconds. */
 const LEAVING_MS = 2_000;
 /** Time until a document must be in force at all routers of the deployments, in milliseconds. */
@@ -31,8 +31,13 @@
     }));
 }
 
-function listOnDuty(routers: readonly DutyRouter[], knowledgeAgeMs = 100, documentAgeMs = 1_100): string[] {
-    const ages = { knowledgeAgeMs, documentAgeMs };
+function listOnDuty(
+    routers: readonly DutyRouter[],
+    knowledgeAgeMs = 100,
+    documentAgeMs = 1_100,
+    documentBehindMs = 700,
+): string[] {
+    const ages = { knowledgeAgeMs, documentAgeMs, documentBehindMs };
     return routers
         .filter(own => isOnStoreDuty({ own, ...ages, ...LIMITS, peers: routers.filter(peer => peer !== own) }))
         .map(({ address }) => address);
@@ -51,6 +56,7 @@
     }
     t.equal(listOnDuty(routers, LIMITS.maxKnowledgeAgeMs).length, 99, "all routers whose list is too old");
     t.equal(listOnDuty(routers, 100, LIMITS.maxDocumentAgeMs).length, 99, "all routers whose document is too old");
+    t.equal(listOnDuty(routers, 100, 100, LIMITS.maxDocumentBehindMs).length, 99, "all routers that get no news");
     t.end();
 });
 
