Keep the requests of all routers to an endpoint within the rate that its answers name

Callers: with an endpoint service in need, requests went on to it at several times what it had said that it takes. Cause: no code read the header. An equal share for each router would waste most of a limit, and one below a request a second would serve nobody; each router by itself would exceed it by the number of routers. Change: SharedRateLimiter. Routers tell each other, in their gossip, the limits that they have been told and what they have sent in the last 4 s; a zone's speaker tells the sums of its zone. An attempt to use the room of an endpoint succeeds with the chance of room over the attempts of all routers within the time that news takes, so that the routers don't all use the same room at once, and it goes where the demand is. Requests go to other endpoints first, wait with the most urgent first while their target can be met, and are then refused, as not run. Retries count. A router that hears nobody takes the share that it would have of 8 or more. An answer without the header ends a limit; an endpoint that takes nothing is asked again after 10 s. EndpointNotices reads and remembers what endpoints say.

--- a/bench/scheduling/placementSimulation.ts
+++ b/bench/scheduling/placementSimulation.ts
@@ -92,6 +92,7 @@
                 zone: router.zone,
                 load: router.load,
                 health,
+                limiter: { getUsedShare: () => 0 },
                 now: queue.getNow(),
                 tried: new Set(),
             });
--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -10,6 +10,7 @@
     createNoCapacityRefusal,
     createNoEndpointRefusal,
     createRefusal,
+    createTimeoutRefusal,
     prolongRetryDelay,
 } from "./attemptRefusals.js";
 import { chooseEndpoint } from "./chooseEndpoint.js";
@@ -45,9 +46,6 @@
     if (outageDelayMs !== undefined) {
         return createRefusal(state, Cause.NoEndpoint, "no endpoint of the service takes work", outageDelayMs);
     }
-    if (!(await context.admission.waitForCapacity(exchange))) {
-        return exchange.isCallerGone ? undefined : createNoCapacityRefusal(state, exchange);
-    }
     try {
         return await repeatAttempts(exchange, context, relay, state, guard);
     } finally {
@@ -63,7 +61,10 @@
     guard: CrashGuard,
 ): Promise<Refusal | undefined> {
     for (;;) {
-        const next = findEndpointOrRefusal(exchange, context, state, guard);
+        const next = await findEndpointOrRefusal(exchange, context, state, guard);
+        if (next === undefined) {
+            return undefined;
+        }
         if ("refusal" in next) {
             return relay.sendBufferedFailure() ? undefined : next.refusal;
         }
@@ -85,34 +86,51 @@
     }
 }
 
-/** Chooses the endpoint for the next send, or returns a refusal if there is none. */
-function findEndpointOrRefusal(
+/** Chooses the endpoint for the next send, or returns a refusal if there is none; undefined if the caller has left. */
+async function findEndpointOrRefusal(
     exchange: RoutedExchange,
     context: DirectContext,
     state: RetryState,
     guard: CrashGuard,
-): { endpoint: EndpointRecord } | { refusal: Refusal } {
-    const refusal = guard.findRefusal(state);
-    if (refusal !== undefined) {
-        return { refusal };
+): Promise<{ endpoint: EndpointRecord } | { refusal: Refusal } | undefined> {
+    const early = guard.findRefusal(state);
+    if (early !== undefined) {
+        return { refusal: early };
+    }
+    const isFirst = state.triedEndpoints.size === 0;
+    const open = await context.admission.waitForEndpoints(exchange, state.triedEndpoints, isFirst);
+    if (exchange.isCallerGone) {
+        return undefined;
+    }
+    if (open === undefined) {
+        const isTimedOut = exchange.isTimedOut && !isFirst;
+        return {
+            refusal: isTimedOut ? createTimeoutRefusal(state.mayHaveRun) : createNoCapacityRefusal(state, exchange),
+        };
+    }
+    const late = guard.findRefusal(state);
+    if (late !== undefined) {
+        return { refusal: late };
     }
-    const endpoint = chooseServingEndpoint(exchange, context, state);
+    const endpoint = chooseOpenEndpoint(open, exchange, context, state);
     if (endpoint === undefined) {
         return { refusal: createNoEndpointRefusal(state) };
     }
     return { endpoint };
 }
 
-function chooseServingEndpoint(
+function chooseOpenEndpoint(
+    open: readonly EndpointRecord[],
     exchange: RoutedExchange,
     context: DirectContext,
     state: RetryState,
 ): EndpointRecord | undefined {
-    return chooseEndpoint(context.directory.listServing(exchange.service), {
+    return chooseEndpoint(open, {
         host: context.host,
         zone: context.zone,
         load: context.load,
         health: context.health,
+        limiter: context.limiter,
         now: readMonotonicMs(),
         tried: state.triedEndpoints,
     });
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -43,6 +43,10 @@
     getDocumentBehindMs(): number;
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
+    /** Gets the time until the other routers know what this one does now, in milliseconds. */
+    getSpreadMs(): number;
+    /** Tells whether another router was heard from lately. */
+    hearsOthers(): boolean;
     /** Sends what this router knows to the others immediately instead of at the next period. */
     announceNews(): void;
     /** Notifies the other routers immediately that this one is leaving. */
@@ -86,7 +90,7 @@
  */
 export function startClusterView(options: ClusterViewOptions): ClusterView {
     const { settings, service, codec, holder, context, logger } = options;
-    const { directory, load, suspects, quarantine } = context;
+    const { directory, load, suspects, quarantine, limiter } = context;
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
@@ -146,6 +150,8 @@
         getDocumentAgeMs: () => documentKnowledge.getAgeMs(),
         getDocumentBehindMs: () => documentKnowledge.getBehindMs(),
         getPeakRouterCount: () => gossip.getPeakRouterCount(),
+        getSpreadMs: () => gossip.getSpreadMs(),
+        hearsOthers: () => gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS).length > 0,
         announceNews: () => gossip.sendNow(),
         announceLeaving() {
             isLeaving = true;
@@ -183,6 +189,7 @@
             endpointDigest: directory.getDigest(),
             load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
             isZoneLoad: isToOtherZones,
+            ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
             isLeaving,
@@ -193,9 +200,12 @@
         const now = readMonotonicMs();
         if (message.isZoneLoad) {
             load.setZoneLoad(message.zone, message.load, now);
+            limiter.setUsage(message.zone, true, message, now);
         } else if (message.zone === settings.zone) {
             load.setPeerLoad(message.address, message.load, now);
+            limiter.setUsage(message.address, false, message, now);
         }
+        limiter.mergeLimits(message, now);
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         fallback.handleMessage(message);
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -1,8 +1,15 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { ConcurrencyLimiter, OutageDetector, PartQuarantine, SuspectTable } from "../scheduling/index.js";
+import type {
+    ConcurrencyLimiter,
+    OutageDetector,
+    PartQuarantine,
+    SharedRateLimiter,
+    SuspectTable,
+} from "../scheduling/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
+import type { EndpointNotices } from "./EndpointNotices.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { SharedRetryBudget } from "./SharedRetryBudget.js";
@@ -16,6 +23,9 @@
     directory: EndpointDirectory;
     load: LoadTracker;
     health: EndpointHealth;
+    /** What endpoints say of themselves in their answers. */
+    notices: EndpointNotices;
+    limiter: SharedRateLimiter;
     retries: SharedRetryBudget;
     suspects: SuspectTable;
     quarantine: PartQuarantine;
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -2,6 +2,7 @@
 import { ErrorCode, hasErrorCode } from "../errors/index.js";
 import { limitAnswerHead } from "../utils/limitAnswerHead.js";
 import { watchReset } from "../utils/watchReset.js";
+import { type EndpointNotice, readEndpointNotice } from "./EndpointNotices.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
 
@@ -45,6 +46,8 @@
     status: number;
     /** The endpoint stated that it did not run the request. */
     isNotRun: boolean;
+    /** What the endpoint says of itself. */
+    notice: EndpointNotice;
     /**
      * Tells whether the connection broke. The HTTP parser treats a reset as the end of a response without a length,
      * so `complete` alone does not prove that the response is complete.
@@ -150,8 +153,9 @@
     if (echoed !== undefined && echoed !== request.attemptId) {
         return createHeadFailure(CallFailure.Mismatched, `response belongs to attempt ${String(echoed)}`);
     }
+    const notice = readEndpointNotice(headers, names);
     if (isNotRun) {
-        return { response: { message, status, isNotRun, isTruncated } };
+        return { response: { message, status, isNotRun, notice, isTruncated } };
     }
     if (echoed === undefined) {
         return createHeadFailure(CallFailure.Malformed, `status ${status} without an attempt identifier`);
@@ -163,7 +167,7 @@
     if (isSuccess && headers[names.signature] === undefined) {
         return createHeadFailure(CallFailure.Malformed, `status ${status} without a signature`);
     }
-    return { response: { message, status, isNotRun, isTruncated } };
+    return { response: { message, status, isNotRun, notice, isTruncated } };
 }
 
 function createHeadFailure(kind: CallFailure, detail: string): CallResult {
--- a/src/direct/HeaderNames.ts
+++ b/src/direct/HeaderNames.ts
@@ -16,6 +16,10 @@
     lastEvent: string;
     /** States that the endpoint did not run the request. */
     notRun: string;
+    /** Requests per second that the endpoint takes from all routers together. */
+    limit: string;
+    /** States that the endpoint is leaving. */
+    leaving: string;
     /** Signature of the endpoint that sent the response. */
     signature: string;
 }
--- a/src/direct/StreamAdmission.ts
+++ b/src/direct/StreamAdmission.ts
@@ -1,17 +1,28 @@
-import type { ConcurrencyLimiter } from "../scheduling/index.js";
+import type { ConcurrencyLimiter, SharedRateLimiter } from "../scheduling/index.js";
 import { computeHashFraction } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
+import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
 
-/** Queues streams while the load of a service's endpoints is limited, and admits the most urgent ones first. */
+/**
+ * Queues requests while the load of a service's endpoints is limited, or while all endpoints are at the rates that they have
+ * named, and admits the most urgent ones first.
+ */
 export interface StreamAdmission {
     /**
      * Waits until an endpoint has capacity for a request.
-     * @returns False if the request's target for the first event could no longer be met, or its caller disconnected.
+     * @param tried - Endpoints that don't count.
+     * @param isFirst - Whether the request waits for its first send; only this one waits for the load of the endpoints.
+     * @returns Endpoints that may be chosen now, none if none is known; undefined if the request's target could no longer be
+     * met, or its caller disconnected.
      */
-    waitForCapacity(exchange: RoutedExchange): Promise<boolean>;
+    waitForEndpoints(
+        exchange: RoutedExchange,
+        tried: ReadonlySet<string>,
+        isFirst: boolean,
+    ): Promise<readonly EndpointRecord[] | undefined>;
     /** Records the time from the send to the first event, in milliseconds. */
     recordFirstEvent(service: string, firstMs: number): void;
     /** Records the end of a request, which may free capacity for a queued one. */
@@ -25,6 +36,7 @@
     directory: EndpointDirectory;
     load: LoadTracker;
     pace: ConcurrencyLimiter;
+    limiter: SharedRateLimiter;
 }
 
 interface QueuedRequest {
@@ -32,7 +44,9 @@
     /** Lower values are more urgent. */
     urgency: number;
     queuedAt: number;
-    finish: (isAdmitted: boolean) => void;
+    tried: ReadonlySet<string>;
+    needsFreeSlot: boolean;
+    finish: (open: readonly EndpointRecord[] | undefined) => void;
 }
 
 /** Interval at which load reported by other routers is checked, in milliseconds. */
@@ -47,42 +61,56 @@
  * @param options - Endpoints, their load and the limit on it.
  */
 export function createStreamAdmission(options: StreamAdmissionOptions): StreamAdmission {
-    const { directory, load, pace } = options;
+    const { directory, load, pace, limiter } = options;
     const queues = new Map<string, QueuedRequest[]>();
     const polledServices = new Set<string>();
     const averageFirstEventMs = new Map<string, number>();
     let admissions = 0;
-    return { waitForCapacity, recordFirstEvent, recordRequestEnd: admitQueued, computeUtilization };
+    return { waitForEndpoints, recordFirstEvent, recordRequestEnd: admitQueued, computeUtilization };
 
-    function waitForCapacity(exchange: RoutedExchange): Promise<boolean> {
+    function waitForEndpoints(
+        exchange: RoutedExchange,
+        tried: ReadonlySet<string>,
+        isFirst: boolean,
+    ): Promise<readonly EndpointRecord[] | undefined> {
         const { service, route } = exchange;
+        const now = readMonotonicMs();
+        const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
-        if (route.maxPauseMs === 0 || hasFreeSlot) {
-            return Promise.resolve(true);
+        if (!needsFreeSlot || hasFreeSlot) {
+            const untried = listUntried(service, tried);
+            const open = limiter.drawOpen(untried, service, 1, now);
+            if (open.length > 0 || untried.length === 0) {
+                return Promise.resolve(open);
+            }
         }
-        const now = readMonotonicMs();
         const leftMs = Math.min(
             exchange.deadlineAt - now,
             Math.max(0, route.targetMs - getAverageFirstEventMs(service)),
         );
         return new Promise(resolve => {
-            const entry: QueuedRequest = { exchange, urgency: getUrgency(exchange), queuedAt: now, finish };
-            const timer = setTimeout(() => finish(false), leftMs);
-            exchange.abortController.signal.addEventListener("abort", () => finish(false), { once: true });
+            const urgency = getUrgency(exchange);
+            const entry: QueuedRequest = { exchange, urgency, queuedAt: now, tried, needsFreeSlot, finish };
+            const timer = setTimeout(() => finish(undefined), leftMs);
+            exchange.abortController.signal.addEventListener("abort", () => finish(undefined), { once: true });
             queues.set(service, [...(queues.get(service) ?? []), entry]);
             startPolling(service);
 
-            function finish(isAdmitted: boolean): void {
+            function finish(open: readonly EndpointRecord[] | undefined): void {
                 clearTimeout(timer);
                 queues.set(
                     service,
                     (queues.get(service) ?? []).filter(other => other !== entry),
                 );
-                resolve(isAdmitted);
+                resolve(open);
             }
         });
     }
 
+    function listUntried(service: string, tried: ReadonlySet<string>): EndpointRecord[] {
+        return directory.listServing(service).filter(({ id }) => !tried.has(id));
+    }
+
     function startPolling(service: string): void {
         if (polledServices.has(service)) {
             return;
@@ -98,11 +126,19 @@
     }
 
     function admitQueued(service: string): void {
-        const queued = queues.get(service) ?? [];
-        if (queued.length === 0 || !hasCapacity(service)) {
+        const hasFreeSlot = hasCapacity(service);
+        const queued = (queues.get(service) ?? []).filter(({ needsFreeSlot }) => hasFreeSlot || !needsFreeSlot);
+        const next = queued.length === 0 ? undefined : chooseNext(queued);
+        if (next === undefined) {
+            return;
+        }
+        const now = readMonotonicMs();
+        const untried = listUntried(service, next.tried);
+        const open = limiter.drawOpen(untried, service, queued.length, now);
+        if (open.length === 0 && untried.length > 0) {
             return;
         }
-        chooseNext(queued)?.finish(true);
+        next.finish(open);
         // The request counts as load once it is sent; only then is the next one checked.
         setImmediate(() => admitQueued(service));
     }
--- a/src/direct/chooseEndpoint.ts
+++ b/src/direct/chooseEndpoint.ts
@@ -1,3 +1,4 @@
+import type { SharedRateLimiter } from "../scheduling/index.js";
 import { computeHashFraction } from "../utils/digest.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -10,6 +11,7 @@
     zone: string;
     load: LoadTracker;
     health: EndpointHealth;
+    limiter: Pick<SharedRateLimiter, "getUsedShare">;
     /** Monotonic time, in milliseconds. */
     now: number;
     /** Endpoints that this request has already been sent to. */
@@ -20,6 +22,8 @@
 const FAILURE_WEIGHT = 4;
 /** Load, in requests per slot, that an endpoint in another zone counts as: about one request (placement bench). */
 const OTHER_ZONE_WEIGHT = 0.18;
+/** Load, in requests per slot, that an endpoint counts as whose limit is used up. */
+const LIMIT_WEIGHT = 0.5;
 /**
  * Load, in requests per slot, between the first and the last endpoint in a router's order of preference: about three
  * requests (placement bench). Routers learn of each other's load with a delay; if all had the same order, they would send
@@ -55,6 +59,9 @@
 function scoreEndpoint(endpoint: EndpointRecord, options: ChoiceOptions): number {
     const load = (options.load.getLoad(endpoint.id, options.now) + 1) / Math.max(1, endpoint.slots);
     const failures = FAILURE_WEIGHT * options.health.getFailureRate(endpoint.id, options.now);
+    const limit = LIMIT_WEIGHT * options.limiter.getUsedShare(endpoint.id, options.now);
     const distance = endpoint.zone === options.zone ? 0 : OTHER_ZONE_WEIGHT;
-    return load + failures + distance + PREFERENCE_WEIGHT * computeHashFraction(`${options.host}/${endpoint.id}`);
+    return (
+        load + failures + limit + distance + PREFERENCE_WEIGHT * computeHashFraction(`${options.host}/${endpoint.id}`)
+    );
 }
--- a/src/direct/sendToEndpoint.ts
+++ b/src/direct/sendToEndpoint.ts
@@ -29,6 +29,7 @@
     const sentAt = readMonotonicMs();
     const knownAgeMs = Math.round(context.getEndpointAgeMs());
     context.load.startRequest(endpoint.id);
+    context.limiter.recordSend(endpoint.id, sentAt);
     state.triedEndpoints.add(endpoint.id);
     let result = "";
     let kind = "";
@@ -50,6 +51,7 @@
             result = `${kind}: ${call.failed.detail}`;
             return handleFailedCall(call.failed, endpoint, context, state);
         }
+        context.notices.recordNotice(endpoint, call.response.notice, readMonotonicMs());
         const end = await handleResponse(call.response, exchange, context, relay, state, endpoint);
         kind = end;
         result = `${end} ${call.response.status} ${describeFraming(call.response)}`;
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -4,6 +4,7 @@
     createConcurrencyLimiter,
     createOutageDetector,
     createPartQuarantine,
+    createSharedRateLimiter,
     createSuspectTable,
 } from "../scheduling/index.js";
 import { EventId } from "../telemetry/EventId.js";
@@ -18,6 +19,7 @@
 import { type DirectMetrics, createDirectMetrics } from "./DirectMetrics.js";
 import type { DirectSettings } from "./DirectSettings.js";
 import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
+import { createEndpointNotices } from "./EndpointNotices.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
@@ -42,7 +44,7 @@
 /** Time within which a request's body must arrive, in milliseconds; the routing document has no limit for it. */
 const BODY_TIMEOUT_MS = 10_000;
 /**
- * Minimum number of routers assumed to share the retry budget. It may be too high, so that a router that doesn't know its
+ * Minimum number of routers assumed to share the retry budget and the limits of endpoints. It may be too high, so that a router that doesn't know its
  * peers yet uses less than its share rather than more.
  */
 const MIN_ASSUMED_ROUTERS = 8;
@@ -74,6 +76,8 @@
         getEndpointAgeMs: () => knowledge.getEndpointAgeMs(),
         getStoreUptimeMs: () => knowledge.getStoreUptimeMs(),
         announceNews: () => knowledge.announceNews(),
+        getSpreadMs: () => knowledge.getSpreadMs(),
+        hearsOthers: () => knowledge.hearsOthers(),
     });
     const metrics: DirectMetrics = createDirectMetrics({
         countActiveRequests: () => callers.countActiveRequests(),
@@ -126,7 +130,10 @@
     settings: DirectSettings,
     { names, codec }: Pick<DirectPlatform, "names" | "codec">,
     logger: Logger,
-    knowledge: Pick<ClusterView, "getPeakRouterCount" | "getEndpointAgeMs" | "getStoreUptimeMs" | "announceNews">,
+    knowledge: Pick<
+        ClusterView,
+        "getPeakRouterCount" | "getEndpointAgeMs" | "getStoreUptimeMs" | "announceNews" | "getSpreadMs" | "hearsOthers"
+    >,
 ): DirectContext {
     const health = createEndpointHealth();
     const { lapseGraceMs } = settings;
@@ -137,6 +144,13 @@
     });
     const load = createLoadTracker();
     const pace = createConcurrencyLimiter();
+    const getRouterCount = (): number => Math.max(MIN_ASSUMED_ROUTERS, knowledge.getPeakRouterCount());
+    const limiter = createSharedRateLimiter({
+        getReportDelayMs: knowledge.getSpreadMs,
+        getShare: () => (knowledge.hearsOthers() ? 1 : 1 / getRouterCount()),
+        drawRandom: Math.random,
+    });
+    const notices = createEndpointNotices(limiter, logger);
     return {
         host: settings.host,
         zone: settings.zone,
@@ -144,11 +158,13 @@
         directory,
         load,
         pace,
-        admission: createStreamAdmission({ directory, load, pace }),
+        admission: createStreamAdmission({ directory, load, pace, limiter }),
         health,
+        limiter,
+        notices,
         retries: createSharedRetryBudget({
             ...settings.retries,
-            getRouterCount: () => Math.max(MIN_ASSUMED_ROUTERS, knowledge.getPeakRouterCount()),
+            getRouterCount,
         }),
         suspects: createSuspectTable(),
         quarantine: createPartQuarantine({
@@ -165,6 +181,7 @@
     function recordChange(change: DirectoryChange, record: EndpointRecord, source: string): void {
         if (change === DirectoryChange.Removed || change === DirectoryChange.Restarted) {
             health.forget(record.id);
+            notices.forget(record.id);
         }
         const { id: endpoint, service } = record;
         logger.logEvent(EventId.EndpointChanged, { change, endpoint, service, source });
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -1,6 +1,6 @@
 import dgram from "node:dgram";
 import { z } from "zod";
-import { partReportSchema } from "../scheduling/index.js";
+import { limitReportSchema, partReportSchema } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
@@ -31,6 +31,10 @@
     suspects: z.array(z.object({ digest: z.string(), losses: z.number().int(), generation: z.number().int() })),
     /** Parts of prompts that are suspected of crashing endpoints, or were so lately. */
     parts: z.array(partReportSchema).default([]),
+    /** Endpoints with a limit on the rate of requests, as far as the sender has used or learned them lately. */
+    limits: z.record(z.string(), limitReportSchema).default({}),
+    /** Attempts per second to find an endpoint of a service with such limits. */
+    attempts: z.record(z.string(), z.number()).default({}),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
     routers: z.array(z.ipv4()),
     /** Zones of these routers, in the same order. */
@@ -75,6 +79,8 @@
     listRecent(withinMs: number): GossipMessage[];
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
+    /** Gets the time until all known routers have received a periodic message with what this one does now, in milliseconds. */
+    getSpreadMs(): number;
     stop(): Promise<void>;
 }
 
@@ -140,12 +146,20 @@
         },
         listRecent,
         getPeakRouterCount: () => peakRouterCount,
+        getSpreadMs,
         stop() {
             stopping ??= loop.stop().then(() => void socket.close());
             return stopping;
         },
     };
 
+    /** What this router does reaches its own zone with its next message, and other zones with the next one of its speaker. */
+    function getSpreadMs(): number {
+        const ownZoneMs = computePeriod(SAME_ZONE_PERIOD_PER_ROUTER_MS, listAddresses(isInOwnZone).length);
+        const hasOtherZones = [...known.values()].some(isInOtherZone);
+        return ownZoneMs + (hasOtherZones ? computePeriod(OTHER_ZONES_PERIOD_PER_ROUTER_MS, known.size) : 0);
+    }
+
     function sendPeriodic(): void {
         const now = readMonotonicMs();
         expireRouters(now);
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -11,3 +11,4 @@
 export * from "./TeamUsage.js";
 export * from "./OutageDetector.js";
 export * from "./ConcurrencyLimiter.js";
+export * from "./SharedRateLimiter.js";
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -21,6 +21,7 @@
     EndpointFailed = 3003,
     EndpointChanged = 3101,
     EndpointRejected = 3102,
+    EndpointNoticed = 3103,
     DocumentApplied = 4001,
     DocumentRejected = 4002,
     DocumentPromoted = 4003,
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import type { RoutedExchange } from "../../src/direct/DirectExchange.js";
 import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
+import { createSharedRateLimiter } from "../../src/scheduling/index.js";
 import { createLoadTracker } from "../../src/direct/LoadTracker.js";
 import { createStreamAdmission } from "../../src/direct/StreamAdmission.js";
 
@@ -25,10 +26,16 @@
     });
     let allowedPart: number | undefined = 1;
     const pace = { recordPause: () => undefined, getAllowedShare: () => allowedPart };
-    const admission = createStreamAdmission({ directory, load, pace });
+    const limiter = createSharedRateLimiter({ getReportDelayMs: () => 0, getShare: () => 1, drawRandom: () => 0 });
+    const admission = createStreamAdmission({ directory, load, pace, limiter });
     return {
         load,
+        limiter,
         admission,
+        /** Waits for the first send of a request; returns whether it was admitted. */
+        async waitForCapacity(exchange: RoutedExchange): Promise<boolean> {
+            return (await admission.waitForEndpoints(exchange, new Set(), true)) !== undefined;
+        },
         setAllowedPart(part: number | undefined) {
             allowedPart = part;
         },
@@ -46,22 +53,55 @@
 }
 
 t.test("no request waits if the service has no limit, or its route no maximum pause", async t => {
-    const { admission, load, setAllowedPart } = startAdmission();
+    const { waitForCapacity, load, setAllowedPart } = startAdmission();
     ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
     setAllowedPart(undefined);
-    t.equal(await admission.waitForCapacity(buildExchange(0)), true);
+    t.equal(await waitForCapacity(buildExchange(0)), true);
     setAllowedPart(1);
     const plain = buildExchange(0);
     plain.route = { ...plain.route, maxPauseMs: 0 };
-    t.equal(await admission.waitForCapacity(plain), true);
+    t.equal(await waitForCapacity(plain), true);
 });
 
+t.test(
+    "a request waits for the room of a limited endpoint, the most urgent one first, and ends at its target",
+    async t => {
+        t.clock.enter();
+        const { limiter, waitForCapacity } = startAdmission();
+        const now = performance.now();
+        limiter.recordLimit("i-1", 0.5, now);
+        limiter.recordSend("i-1", now);
+        limiter.recordSend("i-1", now + 1);
+        const order: string[] = [];
+        const waits = [2, 0].map(async urgency => {
+            const exchange = buildExchange(urgency, { route: { urgency, targetMs: 10_000, maxPauseMs: 0 } as never });
+            if (await waitForCapacity(exchange)) {
+                order.push(`${urgency}`);
+                limiter.recordSend("i-1", performance.now());
+            }
+        });
+        const short = waitForCapacity(
+            buildExchange(0, { route: { urgency: 0, targetMs: 100, maxPauseMs: 0 } as never }),
+        );
+        t.clock.advance(110);
+        t.equal(await short, false, "refused when it can no longer be in time");
+        for (let passed = 0; passed < 4_200; passed += 25) {
+            t.clock.advance(25);
+            await Promise.resolve();
+        }
+        t.strictSame(order[0], "0");
+        t.clock.advance(5_000);
+        await Promise.all(waits);
+        t.clock.exit();
+    },
+);
+
 t.test("the most urgent request is admitted first when another ends", async t => {
-    const { admission, load } = startAdmission();
+    const { admission, waitForCapacity, load } = startAdmission();
     ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
     const order: number[] = [];
     const waits = [2, 0, 1].map(async urgency => {
-        if (await admission.waitForCapacity(buildExchange(urgency))) {
+        if (await waitForCapacity(buildExchange(urgency))) {
             order.push(urgency);
             load.startRequest("i-1");
         }
@@ -74,13 +114,13 @@
 
 t.test("the wait ends when the target can no longer be met, or the caller disconnects", async t => {
     t.clock.enter();
-    const { admission, load } = startAdmission();
+    const { admission, waitForCapacity, load } = startAdmission();
     ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
     for (let stream = 0; stream < 200; stream++) {
         admission.recordFirstEvent("llm", 200);
     }
     const answers: boolean[] = [];
-    const waiting = admission.waitForCapacity(buildExchange(0)).then(answer => answers.push(answer));
+    const waiting = waitForCapacity(buildExchange(0)).then(answer => answers.push(answer));
     t.clock.advance(95);
     await Promise.resolve();
     t.strictSame(answers, [], "still waiting: 300 ms target less 200 ms average time to the first event");
@@ -88,7 +128,7 @@
     await waiting;
     t.strictSame(answers, [false]);
     const leaving = buildExchange(0, { route: { urgency: 0, targetMs: 60_000, maxPauseMs: 120 } as never });
-    const left = admission.waitForCapacity(leaving);
+    const left = waitForCapacity(leaving);
     leaving.abortController.abort();
     t.equal(await left, false);
 });
--- a/tests/direct/decisionsTests.ts
+++ b/tests/direct/decisionsTests.ts
@@ -126,6 +126,7 @@
                 zone: "a",
                 load,
                 health,
+                limiter: { getUsedShare: () => 0 },
                 now: 1_000,
                 tried: new Set(tried),
                 host: "r1",
--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -16,12 +16,14 @@
 const ROUTERS = 4;
 const CALL_PERIOD_MS = 50;
 const SETTLE_MS = 1_000;
+/** Time that an endpoint takes which is to be loaded, in milliseconds. */
+const SLOW_MS = 300;
 
-/** Answers like a sound endpoint, with headers that say something of the endpoint itself. */
-function createScript(headers: Record<string, string>): EndpointScript {
+/** Answers like a sound endpoint after a time, with headers that say something of the endpoint itself. */
+function createScript(headers: Record<string, string>, delayMs = 0): EndpointScript {
     return (seen, socket, response) => {
         const echoed = { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" };
-        response.writeHead(200, { ...echoed, ...headers }).end("done");
+        setTimeout(() => response.writeHead(200, { ...echoed, ...headers }).end("done"), delayMs);
     };
 }
 
@@ -60,7 +62,9 @@
     const systems = await startRouters(t, 3);
     const arrivals: number[][] = [[], [], []];
     systems[0]?.endpoints.forEach((endpoint, index) => {
-        const answer = createScript(index === 2 ? {} : { "server-limit": String(LIMIT_PER_SECOND) });
+        // The endpoint without a limit has more requests than slots, so that the others are wanted too.
+        const answer =
+            index === 2 ? createScript({}, SLOW_MS) : createScript({ "server-limit": String(LIMIT_PER_SECOND) });
         endpoint.setScript((...request) => {
             arrivals[index]?.push(readMonotonicMs());
             answer(...request);
@@ -151,7 +155,7 @@
             })
             .end("done");
     });
-    other?.setScript(createScript({}));
+    other?.setScript(createScript({}, SLOW_MS));
     await sendRequests([system], 4_000);
     const [first = 0] = arrivals;
     const meanwhile = arrivals.filter(at => at > first && at < first + 2_000);
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -39,6 +39,8 @@
             isZoneLoad: isToOtherZones,
             suspects,
             parts: [],
+            limits: {},
+            attempts: {},
             isLeaving: false,
         }),
         onMessage: message => received.push(message),
