Send no requests to an endpoint whose answers say that it leaves

Callers: an endpoint that left without an entry that said so got requests until its entry vanished; those could break off with it. Cause: the header with which an endpoint says so was not read. Change: a router that is told sends it nothing more, and tells the other routers in its gossip. The mark holds for one start of the endpoint, and ends with its entry.

--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -114,7 +114,7 @@
     }
     const endpoint = chooseOpenEndpoint(open, exchange, context, state);
     if (endpoint === undefined) {
-        return { refusal: createNoEndpointRefusal(state) };
+        return { refusal: createNoEndpointRefusal(state, exchange, context) };
     }
     return { endpoint };
 }
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -90,7 +90,7 @@
  */
 export function startClusterView(options: ClusterViewOptions): ClusterView {
     const { settings, service, codec, holder, context, logger } = options;
-    const { directory, load, suspects, quarantine, limiter } = context;
+    const { directory, load, suspects, quarantine, limiter, notices } = context;
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
@@ -189,6 +189,7 @@
             endpointDigest: directory.getDigest(),
             load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
             isZoneLoad: isToOtherZones,
+            leaving: notices.listLeaving(),
             ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
@@ -206,6 +207,7 @@
             limiter.setUsage(message.address, false, message, now);
         }
         limiter.mergeLimits(message, now);
+        notices.mergeLeaving(message.leaving.filter(([id]) => directory.hasRecord(id)));
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         fallback.handleMessage(message);
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -153,7 +153,7 @@
     if (echoed !== undefined && echoed !== request.attemptId) {
         return createHeadFailure(CallFailure.Mismatched, `response belongs to attempt ${String(echoed)}`);
     }
-    const notice = readEndpointNotice(headers, names);
+    const notice = readEndpointNotice(status, headers, names);
     if (isNotRun) {
         return { response: { message, status, isNotRun, notice, isTruncated } };
     }
--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -30,6 +30,8 @@
     /** Lists all endpoints, leaving ones included, whose entries have not lapsed. */
     listRecords(): EndpointRecord[];
     countRecords(): number;
+    /** Tells whether an endpoint is known, lapsed ones included. */
+    hasRecord(id: string): boolean;
     /** Gets a digest of the listed records, equal at routers that list the same ones. */
     getDigest(): number;
 }
@@ -73,6 +75,7 @@
         listServing,
         listRecords: () => [...entries.values()].filter(entry => !entry.hasLapsed).map(entry => entry.record),
         countRecords: () => entries.size,
+        hasRecord: id => entries.has(id),
         getDigest: () => digest,
     };
 
--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -2,6 +2,7 @@
 import { getHeader } from "../protocol/index.js";
 import type { SharedRateLimiter } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
+import { MS_PER_SECOND } from "../utils/time.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
 
@@ -9,21 +10,43 @@
 export interface EndpointNotice {
     /** Requests per second that it takes from all routers together; undefined if it names no limit. */
     limitPerSecond: number | undefined;
+    isLeaving: boolean;
+    /** Time for which it wants no request from this router, in milliseconds; undefined if it doesn't say. */
+    pauseMs: number | undefined;
 }
 
 /** Remembers what endpoints say of themselves in their answers, and lets the choice of an endpoint obey it. */
 export interface EndpointNotices {
     recordNotice(endpoint: EndpointRecord, notice: EndpointNotice, now: number): void;
+    /** Lists the endpoints that neither leave nor want a pause. */
+    listAccepting(endpoints: readonly EndpointRecord[], now: number): EndpointRecord[];
+    /** Gets the time until the first of the endpoints wants requests again, in milliseconds; undefined if none paused. */
+    getPauseMs(endpoints: readonly EndpointRecord[], now: number): number | undefined;
+    /** Lists the endpoints that said that they leave, with their start times. */
+    listLeaving(): LeavingEndpoint[];
+    /** Merges what another router has been told by endpoints. */
+    mergeLeaving(endpoints: readonly LeavingEndpoint[]): void;
     forget(endpoint: string): void;
 }
 
+/** Identifier and start time of an endpoint that leaves. */
+export type LeavingEndpoint = [id: string, bornAt: number];
+
+const STATUS_UNAVAILABLE = 503;
+
 /**
  * Reads what an endpoint says of itself.
+ * @param status - Status of its answer.
  * @param headers - Headers of its answer.
  * @param names - Names of the headers.
  */
-export function readEndpointNotice(headers: IncomingHttpHeaders, names: HeaderNames): EndpointNotice {
-    return { limitPerSecond: readNumber(headers, names.limit) };
+export function readEndpointNotice(status: number, headers: IncomingHttpHeaders, names: HeaderNames): EndpointNotice {
+    const pauseSeconds = status === STATUS_UNAVAILABLE ? readNumber(headers, "retry-after") : undefined;
+    return {
+        limitPerSecond: readNumber(headers, names.limit),
+        isLeaving: getHeader(headers, names.leaving) === "1",
+        pauseMs: pauseSeconds === undefined ? undefined : pauseSeconds * MS_PER_SECOND,
+    };
 }
 
 function readNumber(headers: IncomingHttpHeaders, name: string): number | undefined {
@@ -35,16 +58,53 @@
 /**
  * Creates the memory of a router that has had no answer.
  * @param limiter - Holds the limits, which all routers share.
- * @param logger - Receives the first and the last word on a limit.
+ * @param logger - Receives the first and the last word on a limit, and each leaving or pause.
  */
 export function createEndpointNotices(limiter: SharedRateLimiter, logger: Logger): EndpointNotices {
-    return { recordNotice, forget: endpoint => limiter.forget(endpoint) };
+    /** Start times of the endpoints that leave, as an endpoint may start again under its identifier. */
+    const leaving = new Map<string, number>();
+    /** Monotonic times until which endpoints want no requests, in milliseconds. */
+    const pausedUntil = new Map<string, number>();
+    return {
+        recordNotice,
+        listAccepting: (endpoints, now) =>
+            leaving.size === 0 && pausedUntil.size === 0
+                ? [...endpoints]
+                : endpoints.filter(endpoint => !isLeaving(endpoint) && getPausedUntil(endpoint.id) <= now),
+        getPauseMs(endpoints, now) {
+            const paused = endpoints.filter(endpoint => !isLeaving(endpoint) && getPausedUntil(endpoint.id) > now);
+            return paused.length === 0 ? undefined : Math.min(...paused.map(({ id }) => getPausedUntil(id))) - now;
+        },
+        listLeaving: () => [...leaving],
+        mergeLeaving: endpoints =>
+            endpoints.forEach(([id, bornAt]) => leaving.set(id, Math.max(bornAt, leaving.get(id) ?? bornAt))),
+        forget(endpoint) {
+            leaving.delete(endpoint);
+            pausedUntil.delete(endpoint);
+            limiter.forget(endpoint);
+        },
+    };
 
-    function recordNotice({ id, service }: EndpointRecord, { limitPerSecond }: EndpointNotice, now: number): void {
+    function recordNotice(endpoint: EndpointRecord, notice: EndpointNotice, now: number): void {
+        const { id, service } = endpoint;
+        const { limitPerSecond, pauseMs } = notice;
         const hadLimit = limiter.getLimit(id) !== undefined;
         limiter.recordLimit(id, limitPerSecond, now);
-        if (hadLimit !== (limitPerSecond !== undefined)) {
-            logger.logEvent(EventId.EndpointNoticed, { endpoint: id, service, limitPerSecond });
+        const isNewlyLeaving = notice.isLeaving && !isLeaving(endpoint);
+        if (isNewlyLeaving) {
+            leaving.set(id, endpoint.bornAt);
         }
+        if (hadLimit !== (limitPerSecond !== undefined) || isNewlyLeaving || pauseMs !== undefined) {
+            const facts = { limitPerSecond, isLeaving: notice.isLeaving, pauseMs };
+            logger.logEvent(EventId.EndpointNoticed, { endpoint: id, service, ...facts });
+        }
+    }
+
+    function isLeaving({ id, bornAt }: EndpointRecord): boolean {
+        return leaving.get(id) === bornAt;
+    }
+
+    function getPausedUntil(endpoint: string): number {
+        return pausedUntil.get(endpoint) ?? Number.NEGATIVE_INFINITY;
     }
 }
--- a/src/direct/StreamAdmission.ts
+++ b/src/direct/StreamAdmission.ts
@@ -2,6 +2,7 @@
 import { computeHashFraction } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
+import type { EndpointNotices } from "./EndpointNotices.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -37,6 +38,7 @@
     load: LoadTracker;
     pace: ConcurrencyLimiter;
     limiter: SharedRateLimiter;
+    notices: EndpointNotices;
 }
 
 interface QueuedRequest {
@@ -61,7 +63,7 @@
  * @param options - Endpoints, their load and the limit on it.
  */
 export function createStreamAdmission(options: StreamAdmissionOptions): StreamAdmission {
-    const { directory, load, pace, limiter } = options;
+    const { directory, load, pace, limiter, notices } = options;
     const queues = new Map<string, QueuedRequest[]>();
     const polledServices = new Set<string>();
     const averageFirstEventMs = new Map<string, number>();
@@ -78,7 +80,7 @@
         const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
         if (!needsFreeSlot || hasFreeSlot) {
-            const untried = listUntried(service, tried);
+            const untried = listUntried(service, tried, now);
             const open = limiter.drawOpen(untried, service, 1, now);
             if (open.length > 0 || untried.length === 0) {
                 return Promise.resolve(open);
@@ -107,8 +109,10 @@
         });
     }
 
-    function listUntried(service: string, tried: ReadonlySet<string>): EndpointRecord[] {
-        return directory.listServing(service).filter(({ id }) => !tried.has(id));
+    /** Lists the endpoints of a service that accept requests, without those that were tried. */
+    function listUntried(service: string, tried: ReadonlySet<string>, now: number): EndpointRecord[] {
+        const untried = directory.listServing(service).filter(({ id }) => !tried.has(id));
+        return notices.listAccepting(untried, now);
     }
 
     function startPolling(service: string): void {
@@ -133,7 +137,7 @@
             return;
         }
         const now = readMonotonicMs();
-        const untried = listUntried(service, next.tried);
+        const untried = listUntried(service, next.tried, now);
         const open = limiter.drawOpen(untried, service, queued.length, now);
         if (open.length === 0 && untried.length > 0) {
             return;
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -74,11 +74,16 @@
 }
 
 /**
- * Creates the refusal of a request for which no endpoint is available.
+ * Creates the refusal of a request for which no endpoint is available. Endpoints that want a pause are available after it.
  * @param state - State of the request.
+ * @param exchange - Exchange that is refused.
+ * @param context - Shared parts of the router.
  */
-export function createNoEndpointRefusal(state: RetryState): Refusal {
-    return createRefusal(state, Cause.NoEndpoint, "no endpoint is available for the request", RETRY_DELAY_MS);
+export function createNoEndpointRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
+    const serving = context.directory.listServing(exchange.service);
+    const pauseMs = context.notices.getPauseMs(serving, readMonotonicMs()) ?? RETRY_DELAY_MS;
+    const delayMs = computeRetryDelay(exchange, Math.max(RETRY_DELAY_MS, pauseMs));
+    return createRefusal(state, Cause.NoEndpoint, "no endpoint is available for the request", delayMs);
 }
 
 /**
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -158,7 +158,7 @@
         directory,
         load,
         pace,
-        admission: createStreamAdmission({ directory, load, pace, limiter }),
+        admission: createStreamAdmission({ directory, load, pace, limiter, notices }),
         health,
         limiter,
         notices,
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -33,6 +33,8 @@
     parts: z.array(partReportSchema).default([]),
     /** Endpoints with a limit on the rate of requests, as far as the sender has used or learned them lately. */
     limits: z.record(z.string(), limitReportSchema).default({}),
+    /** Endpoints, with their start times, that told the sender or another router that they leave. */
+    leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Attempts per second to find an endpoint of a service with such limits. */
     attempts: z.record(z.string(), z.number()).default({}),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -2,7 +2,9 @@
 import type { RoutedExchange } from "../../src/direct/DirectExchange.js";
 import { createEndpointDirectory } from "../../src/direct/EndpointDirectory.js";
 import { createSharedRateLimiter } from "../../src/scheduling/index.js";
+import { createLogger } from "../../src/telemetry/logger.js";
 import { createLoadTracker } from "../../src/direct/LoadTracker.js";
+import { createEndpointNotices } from "../../src/direct/EndpointNotices.js";
 import { createStreamAdmission } from "../../src/direct/StreamAdmission.js";
 
 /** Creates the admission for a service of one endpoint with two slots, of which a configurable share is allowed. */
@@ -27,7 +29,9 @@
     let allowedPart: number | undefined = 1;
     const pace = { recordPause: () => undefined, getAllowedShare: () => allowedPart };
     const limiter = createSharedRateLimiter({ getReportDelayMs: () => 0, getShare: () => 1, drawRandom: () => 0 });
-    const admission = createStreamAdmission({ directory, load, pace, limiter });
+    const logger = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
+    const notices = createEndpointNotices(limiter, logger);
+    const admission = createStreamAdmission({ directory, load, pace, limiter, notices });
     return {
         load,
         limiter,
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -41,6 +41,7 @@
             parts: [],
             limits: {},
             attempts: {},
+            leaving: [],
             isLeaving: false,
         }),
         onMessage: message => received.push(message),
