Leave an endpoint alone for the time that it names with a 503

Callers: requests went on to an endpoint that had said that it wants none for a time, and were turned away. Cause: the delay of an endpoint's own 503 was not read; its failures alone made it less likely to be chosen. Change: a router sends it nothing until the time is over.

--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -94,6 +94,9 @@
         if (isNewlyLeaving) {
             leaving.set(id, endpoint.bornAt);
         }
+        if (pauseMs !== undefined) {
+            pausedUntil.set(id, Math.max(getPausedUntil(id), now + pauseMs));
+        }
         if (hadLimit !== (limitPerSecond !== undefined) || isNewlyLeaving || pauseMs !== undefined) {
             const facts = { limitPerSecond, isLeaving: notice.isLeaving, pauseMs };
             logger.logEvent(EventId.EndpointNoticed, { endpoint: id, service, ...facts });
