Routers with agents: fetch a document from one router at a time

Evidence: peerExchangeTests, three routers announce a version: 3 -> 1 copies on their way, 6 -> 2 calls with one failure.

--- a/src/membership/PeerExchange.ts
+++ b/src/membership/PeerExchange.ts
@@ -64,6 +64,8 @@
  */
 export function startPeerExchange(options: PeerExchangeOptions): PeerExchange {
     const links = new Map<string, PeerLink>();
+    /** Several copies at once would share the link, and time out together. */
+    let isFetchingDocument = false;
     const loop: Loop = startLoop(TICK_MS, sendNow, error => options.logger.logFailure(EventId.TaskFailed, error));
     return { sendNow, sendToAll, handleVersion, queryVersions, stop };
 
@@ -131,7 +133,7 @@
     }
 
     function handleVersion(host: string, version: number): void {
-        if (version > options.getDocumentVersion()) {
+        if (version > options.getDocumentVersion() && !isFetchingDocument) {
             void fetchDocument(host);
         }
     }
@@ -141,6 +143,7 @@
         if (peer === undefined) {
             return;
         }
+        isFetchingDocument = true;
         try {
             const stored = await getLink(peer).client.call(
                 (control, signal) => control.getDocument.query(undefined, { signal }),
@@ -151,6 +154,8 @@
             }
         } catch (error) {
             options.logger.logFailure(EventId.TaskFailed, error, { peer: host });
+        } finally {
+            isFetchingDocument = false;
         }
     }
 
