--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -30,6 +30,8 @@
     getDocumentBehindMs(): number;
     /** Counts the parts of prompts with which requests are refused. */
     countRefusedParts(): number;
+    /** Counts the endpoints that name a limit on the rate of requests. */
+    countLimited(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
 }
@@ -113,6 +115,9 @@
         { name: "auburnpass_refused_parts", help: "Parts of prompts that crashed endpoints and are refused" },
         () => state.countRefusedParts(),
     );
+    set.addGauge({ name: "auburnpass_limited_endpoints", help: "Endpoints that name a limit on requests" }, () =>
+        state.countLimited(),
+    );
     set.addGauge(
         { name: "auburnpass_store_age_seconds", help: "Time since the store last confirmed the endpoints" },
         () => state.getStoreAgeMs() / MS_PER_SECOND,
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -84,6 +84,7 @@
         getDocumentVersion: () => holder.getVersion(),
         countEndpoints: () => context.directory.countRecords(),
         countRefusedParts: () => context.quarantine.countRefused(),
+        countLimited: () => context.limiter.countLimited(),
         countRouters: () => knowledge.getPeakRouterCount(),
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
