A router that starts serves no document that nobody has confirmed

Callers: after a restart, with the store silent for this router, a withdrawn key or a dropped route was in use again until the next router was heard, as the first peer that was heard may itself have been behind. Cause: a router was ready with any document. How old a peer's document is was not told. Change: it is ready, and answers other than 503, once the store has confirmed its document, to it or to a peer, and no higher version is known; if nobody confirms one within the bound of a change, with the newest that it finds. Evidence: documentStartTests: a request with a withdrawn key 200 -> 503, and 401 once the newer document is there; with no confirmation anywhere it still serves after the bound.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -21,6 +21,11 @@
      * active one neither to this router nor to a peer lately.
      */
     isDocumentStale(): boolean;
+    /**
+     * Returns whether the active document may be served. After the start it may not before the platform has confirmed it, to
+     * this router or to a peer: a peer that is behind may have sent it. When nobody confirms one in time, it may.
+     */
+    isDocumentUsable(): boolean;
     /**
      * Gets what another router needs of the routes and endpoints known to this one.
      * @param knownVersion - Version of the other router's routes.
@@ -94,7 +99,9 @@
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
+    const startedAt = readMonotonicMs();
     let isLeaving = false;
+    let hasUsableDocument = false;
     const storeSync: StoreSync = startStoreSync({
         service,
         codec,
@@ -133,6 +140,7 @@
     });
     return {
         isDocumentStale,
+        isDocumentUsable,
         getSnapshot: knownVersion => ({
             document: holder.getVersion() > knownVersion ? holder.getIndex()?.document : undefined,
             endpoints: directory.listRecords(),
@@ -213,6 +221,11 @@
         fallback.handleMessage(message);
     }
 
+    function isDocumentUsable(): boolean {
+        hasUsableDocument ||= !isDocumentStale() || readMonotonicMs() - startedAt >= settings.applyMs;
+        return hasUsableDocument;
+    }
+
     function isDocumentStale(): boolean {
         return (
             documentKnowledge.getBehindMs() > 0 ||
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -26,7 +26,8 @@
 import { type ClusterView, startClusterView } from "./ClusterView.js";
 import { createLoadTracker } from "./LoadTracker.js";
 import { createSharedRetryBudget } from "./SharedRetryBudget.js";
-import { type RouteIndexHolder, createRouteIndexHolder } from "./RouteIndexHolder.js";
+import type { RouteIndex } from "./RouteIndex.js";
+import { createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
 import { createStreamAdmission } from "./StreamAdmission.js";
 import { buildDirectControl } from "./directControl.js";
@@ -92,14 +93,14 @@
         isReadingStore: () => knowledge.isReadingStore(),
     });
     const service = createCountedService(platform.service, metrics.recordStoreCall);
-    const callers = buildCallerServer(context, holder, metrics, () => knowledge.isDocumentStale());
+    const callers = buildCallerServer(context, getServedIndex, metrics, () => knowledge.isDocumentStale());
     const knowledge: ClusterView = startClusterView({ settings, service, codec, holder, context, logger });
     const listeners: DirectListeners = await openListeners({
         settings,
         callers,
         metrics: metrics.set,
         control: buildDirectControl(knowledge),
-        isServing: () => !isDraining && holder.getIndex() !== undefined && context.directory.countRecords() > 0,
+        isServing: () => !isDraining && getServedIndex() !== undefined && context.directory.countRecords() > 0,
     });
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
     return {
@@ -109,6 +110,10 @@
         },
     };
 
+    function getServedIndex(): RouteIndex | undefined {
+        return knowledge.isDocumentUsable() ? holder.getIndex() : undefined;
+    }
+
     /** Keeps serving while the load balancer removes the host, then stops once all requests are answered or time is up. */
     async function drain(): Promise<void> {
         const startedAt = readMonotonicMs();
@@ -191,7 +196,7 @@
 
 function buildCallerServer(
     context: DirectContext,
-    holder: RouteIndexHolder,
+    getIndex: () => RouteIndex | undefined,
     metrics: DirectMetrics,
     isOutdated: () => boolean,
 ): CallerServer {
@@ -199,7 +204,7 @@
     const settledLog = createSettledLog(logger);
     return createCallerServer({
         names,
-        getIndex: () => holder.getIndex(),
+        getIndex,
         filters: [
             createFindRoute({ isOutdated, drawRandom }),
             createFindTeam(names, isOutdated),
