Through agents: a stream that got an event of another answer is not continued by another replica

Callers: where an engine crossed the answers of two requests, a stream now and then lacked events and still ended as complete. Cause: an event of another answer ended the stream as broken off, which another replica may continue after the last event that came. But where answers are crossed, events of this one may have gone to another caller before; a count of tokens tells only at the end. The stand-in, besides, wrote to responses that a crossed end marker had ended, which failed the test by itself (write after end). Change: such a stream can't be continued. The stand-in sends nothing to a response that has ended.

--- a/src/agent/AnswerCheck.ts
+++ b/src/agent/AnswerCheck.ts
@@ -129,7 +129,8 @@
         if (prefix === undefined) {
             prefix = readPrefix(bytes, start, end);
         } else if (prefix.length > 0 && !hasBytesAt(bytes, prefix, start)) {
-            return createFault("an event of another answer came");
+            // Where answers are crossed, events of this one may have gone elsewhere before.
+            return { detail: "an event of another answer came", isInconsistent: true };
         }
         readUsage(bytes, start, end);
         return undefined;
--- a/standins/engine/engineStandin.ts
+++ b/standins/engine/engineStandin.ts
@@ -244,6 +244,9 @@
 
     function sendDelta(sequence: Sequence, text: string): void {
         const target = findTarget(sequence);
+        if (target.response.writableEnded) {
+            return;
+        }
         if (!target.response.headersSent) {
             target.response.writeHead(STATUS_OK, {
                 "content-type": "text/event-stream",
@@ -263,7 +266,9 @@
         if (!faults.isCrossed) {
             return sequence;
         }
-        return [...running].find(other => other !== sequence) ?? sequence;
+        // A crossed end marker has ended the responses of some that still run.
+        const others = [...running].filter(other => other !== sequence && !other.response.writableEnded);
+        return others[0] ?? sequence;
     }
 
     function createUsageEvent(sequence: Sequence): string {
@@ -280,6 +285,9 @@
         running.delete(sequence);
         sequence.run.ended = true;
         const target = findTarget(sequence);
+        if (target.response.writableEnded) {
+            return;
+        }
         if (sequence.body.stream === true) {
             target.response.end(`${createUsageEvent(sequence)}data: [DONE]\n\n`);
             return;
--- a/tests/agent/AnswerCheckTests.ts
+++ b/tests/agent/AnswerCheckTests.ts
@@ -50,3 +50,19 @@
     t.matchSnapshot(checkPieces(buildEvent(`"delta":${text},"token_ids":[5]`) + buildUsage(1) + DONE));
     t.end();
 });
+
+t.test(
+    "a stream with an event of another answer can't be continued, as events of its own may have gone elsewhere",
+    t => {
+        const other = '"delta":{"content":"c"},"token_ids":[10]';
+        const foreign = buildEvent(other).replace('"id":"c1"', '"id":"c2"');
+        const results = checkPieces(several + foreign + buildUsage(3) + DONE) as {
+            fault?: { isInconsistent: boolean };
+        }[];
+        t.strictSame(
+            results.map(({ fault }) => fault?.isInconsistent),
+            [true],
+        );
+        t.end();
+    },
+);
