Limits of endpoints: remember no endpoint that is gone, and no router that is silent

A peer's report that came after the end of an endpoint brought its limit back, for as long as the process lived; reports of routers that were replaced were kept while no endpoint had a limit. Evidence: SharedRateLimiterTests, an endpoint that is gone is not remembered.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -214,8 +214,9 @@
             load.setPeerLoad(message.address, message.load, now);
             limiter.setUsage(message.address, false, message, now);
         }
-        limiter.mergeLimits(message, now);
-        notices.mergeLeaving(message.leaving.filter(([id]) => directory.hasRecord(id)));
+        const isKnown = (endpoint: string): boolean => directory.hasRecord(endpoint);
+        limiter.mergeLimits(message, isKnown, now);
+        notices.mergeLeaving(message.leaving.filter(([id]) => isKnown(id)));
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         fallback.handleMessage(message);
--- a/src/scheduling/SharedRateLimiter.ts
+++ b/src/scheduling/SharedRateLimiter.ts
@@ -43,8 +43,11 @@
      * @param isOfZone - The receivers hear from this router only, on behalf of its zone.
      */
     listReports(isOfZone: boolean, now: number): LimitReports;
-    /** Merges the limits that another router knows. */
-    mergeLimits(reports: LimitReports, now: number): void;
+    /**
+     * Merges the limits that another router knows.
+     * @param isKnown - Tells whether an endpoint exists, as a report may be older than its end.
+     */
+    mergeLimits(reports: LimitReports, isKnown: (endpoint: string) => boolean, now: number): void;
     /** Replaces what a router of the zone, or another zone, has sent and wants to send. */
     setUsage(source: string, isOfZone: boolean, reports: LimitReports, now: number): void;
     forget(endpoint: string): void;
@@ -170,13 +173,9 @@
 
     function sumUsages(endpoint: string, now: number, isWanted: (usage: Usage) => boolean): number {
         let sum = 0;
-        for (const [source, usage] of usages) {
+        for (const usage of [...usages.values()].filter(isWanted)) {
             const heldMs = Math.max(0, now - usage.receivedAt - COUNT_HOLD_MS);
-            if (heldMs >= WINDOW_MS) {
-                usages.delete(source);
-            } else if (isWanted(usage)) {
-                sum += (usage.reports.limits[endpoint]?.[2] ?? 0) * (1 - heldMs / WINDOW_MS);
-            }
+            sum += (usage.reports.limits[endpoint]?.[2] ?? 0) * Math.max(0, 1 - heldMs / WINDOW_MS);
         }
         return sum;
     }
@@ -210,6 +209,7 @@
     }
 
     function listReports(isOfZone: boolean, now: number): LimitReports {
+        expireUsages(now);
         const reports: LimitReports = { limits: {}, attempts: {} };
         const isOfMember = (usage: Usage): boolean => isOfZone && !usage.isOfZone;
         for (const [endpoint, { perSecond, namedAt }] of limits) {
@@ -231,11 +231,21 @@
         return reports;
     }
 
-    function mergeLimits(reports: LimitReports, now: number): void {
-        for (const [endpoint, [perSecond, ageMs]] of Object.entries(reports.limits)) {
+    function expireUsages(now: number): void {
+        for (const [source, { receivedAt }] of usages) {
+            if (now - receivedAt >= COUNT_HOLD_MS + WINDOW_MS) {
+                usages.delete(source);
+            }
+        }
+    }
+
+    function mergeLimits(reports: LimitReports, isKnown: (endpoint: string) => boolean, now: number): void {
+        const known = Object.entries(reports.limits).filter(([endpoint]) => isKnown(endpoint));
+        for (const [endpoint, [perSecond, ageMs]] of known) {
             const namedAt = now - ageMs;
-            const known = limits.get(endpoint);
-            if (namedAt > (known?.namedAt ?? Number.NEGATIVE_INFINITY) && (perSecond >= 0 || known !== undefined)) {
+            const previous = limits.get(endpoint);
+            const isNewer = namedAt > (previous?.namedAt ?? Number.NEGATIVE_INFINITY);
+            if (isNewer && (perSecond >= 0 || previous !== undefined)) {
                 limits.set(endpoint, { perSecond: perSecond >= 0 ? perSecond : undefined, namedAt });
             }
         }
--- a/tests/scheduling/SharedRateLimiterTests.ts
+++ b/tests/scheduling/SharedRateLimiterTests.ts
@@ -97,7 +97,7 @@
         ): void {
             for (const other of routers.filter(candidate => candidate !== router && isReceiver(candidate))) {
                 other.limiter.setUsage(source, isOfZone, reports, now);
-                other.limiter.mergeLimits(reports, now);
+                other.limiter.mergeLimits(reports, () => true, now);
             }
         }
     });
@@ -189,17 +189,19 @@
     const other = createLimiter();
     t.ok(hasRoom(limiter, 0));
     limiter.recordLimit("e-1", 1, 1_000);
-    other.mergeLimits(limiter.listReports(false, 1_100), 1_100);
+    other.mergeLimits(limiter.listReports(false, 1_100), () => true, 1_100);
     t.equal(other.getLimit("e-1"), 1);
     other.recordLimit("e-1", undefined, 1_200);
-    other.mergeLimits(limiter.listReports(false, 1_300), 1_300);
+    other.mergeLimits(limiter.listReports(false, 1_300), () => true, 1_300);
     t.equal(other.getLimit("e-1"), undefined, "an older report doesn't bring it back");
-    limiter.mergeLimits(other.listReports(false, 1_400), 1_400);
+    limiter.mergeLimits(other.listReports(false, 1_400), () => true, 1_400);
     t.equal(limiter.getLimit("e-1"), undefined);
     t.equal(limiter.countLimited(), 0);
     limiter.recordLimit("e-1", 1, 1_500);
     limiter.forget("e-1");
     t.equal(limiter.getLimit("e-1"), undefined, "an endpoint that starts anew has said nothing");
+    limiter.mergeLimits({ limits: { gone: [1, 0, 0] }, attempts: {} }, id => id !== "gone", 1_600);
+    t.equal(limiter.countLimited(), 0, "an endpoint that is gone is not remembered");
     t.end();
 });
 
