Retry delays are never negative; whether others are heard is read without a copy of all messages

Callers: a refusal made in the moment after its deadline could carry a delay below zero, since the delay of a refusal without an endpoint is limited by what the caller has left. Cause: the rest of the time was not bounded by zero. Beside it, each look at a limited endpoint copied the last message of every router. Change: both, and names for the parts of a document and the marks in reports on limits. Evidence: decisionsTests, the new test fails on the code before and passes now.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -159,7 +159,7 @@
         getDocumentBehindMs: () => documentKnowledge.getBehindMs(),
         getPeakRouterCount: () => gossip.getPeakRouterCount(),
         getSpreadMs: () => gossip.getSpreadMs(),
-        hearsOthers: () => gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS).length > 0,
+        hearsOthers: () => gossip.hasRecent(MAX_PEER_MESSAGE_AGE_MS),
         announceNews: () => gossip.sendNow(),
         announceLeaving() {
             isLeaving = true;
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -92,7 +92,8 @@
  * @param delayMs - Delay that suits the cause, in milliseconds.
  */
 export function computeRetryDelay(exchange: RoutedExchange, delayMs: number): number {
-    return Math.min(delayMs, (exchange.deadlineAt - readMonotonicMs()) * RETRY_DELAY_FRACTION);
+    const leftMs = Math.max(0, exchange.deadlineAt - readMonotonicMs());
+    return Math.min(delayMs, leftMs * RETRY_DELAY_FRACTION);
 }
 
 /**
--- a/src/direct/documentParts.ts
+++ b/src/direct/documentParts.ts
@@ -2,7 +2,7 @@
 import type { RouteDefinition, RoutingDocument, TeamDefinition } from "./RoutingDocument.js";
 
 /** What a part of a document holds. */
-export enum PartKind {
+export enum DocumentPartKind {
     /** All that is neither a route nor a team. */
     Frame = "frame",
     Routes = "routes",
@@ -11,9 +11,9 @@
 
 /** Part of a routing document that can be sent by itself. */
 export type DocumentPart =
-    | { kind: PartKind.Frame; frame: Omit<RoutingDocument, "routes" | "teams" | "version">; hasTeams: boolean }
-    | { kind: PartKind.Routes; routes: RouteDefinition[] }
-    | { kind: PartKind.Teams; teams: TeamDefinition[] };
+    | { kind: DocumentPartKind.Frame; frame: Omit<RoutingDocument, "routes" | "teams" | "version">; hasTeams: boolean }
+    | { kind: DocumentPartKind.Routes; routes: RouteDefinition[] }
+    | { kind: DocumentPartKind.Teams; teams: TeamDefinition[] };
 
 /** A part with its size when encoded, in bytes. */
 export interface SizedPart {
@@ -50,27 +50,29 @@
  * @returns Undefined if parts are missing.
  */
 export function joinParts(version: number, parts: readonly DocumentPart[]): RoutingDocument | undefined {
-    const head = parts.find(part => part.kind === PartKind.Frame);
+    const head = parts.find(part => part.kind === DocumentPartKind.Frame);
     if (head === undefined) {
         return undefined;
     }
-    const teams = parts.flatMap(part => (part.kind === PartKind.Teams ? part.teams : []));
+    const teams = parts.flatMap(part => (part.kind === DocumentPartKind.Teams ? part.teams : []));
     return {
         ...head.frame,
         version,
-        routes: parts.flatMap(part => (part.kind === PartKind.Routes ? part.routes : [])),
+        routes: parts.flatMap(part => (part.kind === DocumentPartKind.Routes ? part.routes : [])),
         teams: head.hasTeams ? teams : undefined,
     };
 }
 
 function buildParts({ routes, services, limits, teams }: RoutingDocument): DocumentParts {
     const parts: DocumentPart[] = [
-        { kind: PartKind.Frame, frame: { services, limits }, hasTeams: teams !== undefined },
+        { kind: DocumentPartKind.Frame, frame: { services, limits }, hasTeams: teams !== undefined },
         // Routes of one host and prefix, the last of which holds, are in one part.
         ...groupEntries(routes, route => `${route.host.toLowerCase()}${route.pathPrefix}`).map(
-            group => ({ kind: PartKind.Routes, routes: group }) as const,
+            group => ({ kind: DocumentPartKind.Routes, routes: group }) as const,
+        ),
+        ...groupEntries(teams ?? [], team => team.name).map(
+            group => ({ kind: DocumentPartKind.Teams, teams: group }) as const,
         ),
-        ...groupEntries(teams ?? [], team => team.name).map(group => ({ kind: PartKind.Teams, teams: group }) as const),
     ];
     return new Map(parts.map(buildSizedPart));
 }
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -79,6 +79,8 @@
      * event brought up to now.
      */
     listRecent(withinMs: number): GossipMessage[];
+    /** Tells whether a message of any router was received within the given time. */
+    hasRecent(withinMs: number): boolean;
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
     /** Gets the time until all known routers have received a periodic message with what this one does now, in milliseconds. */
@@ -147,6 +149,10 @@
             sendTo(listAddresses(isInOtherZone), false);
         },
         listRecent,
+        hasRecent(withinMs) {
+            const now = readMonotonicMs();
+            return [...lastMessages.values()].some(({ receivedAt }) => now - receivedAt <= withinMs);
+        },
         getPeakRouterCount: () => peakRouterCount,
         getSpreadMs,
         stop() {
--- a/src/scheduling/SharedRateLimiter.ts
+++ b/src/scheduling/SharedRateLimiter.ts
@@ -75,6 +75,9 @@
     receivedAt: number;
 }
 
+/** Stands for the rate of a limit that its endpoint has ended. */
+const ENDED_LIMIT = -1;
+const NO_REPORT: LimitReport = [ENDED_LIMIT, 0, 0];
 /** Window over which requests are counted, in milliseconds. */
 const WINDOW_MS = 4_000;
 /** Time for which another router's count holds, as about as many requests enter its window as leave it, in milliseconds. */
@@ -175,7 +178,8 @@
         let sum = 0;
         for (const usage of [...usages.values()].filter(isWanted)) {
             const heldMs = Math.max(0, now - usage.receivedAt - COUNT_HOLD_MS);
-            sum += (usage.reports.limits[endpoint]?.[2] ?? 0) * Math.max(0, 1 - heldMs / WINDOW_MS);
+            const [, , sent] = usage.reports.limits[endpoint] ?? NO_REPORT;
+            sum += sent * Math.max(0, 1 - heldMs / WINDOW_MS);
         }
         return sum;
     }
@@ -215,7 +219,7 @@
         for (const [endpoint, { perSecond, namedAt }] of limits) {
             const sent = listOwnSends(endpoint, now).length + sumUsages(endpoint, now, isOfMember);
             if (sent > 0 || now - namedAt < WINDOW_MS) {
-                reports.limits[endpoint] = [perSecond ?? -1, Math.round(now - namedAt), Math.round(sent)];
+                reports.limits[endpoint] = [perSecond ?? ENDED_LIMIT, Math.round(now - namedAt), Math.round(sent)];
             }
         }
         for (const service of ownAttempts.keys()) {
--- a/tests/direct/decisionsTests.ts
+++ b/tests/direct/decisionsTests.ts
@@ -11,6 +11,8 @@
 import { createRouteIndex } from "../../src/direct/RouteIndex.js";
 import { createRouteIndexHolder } from "../../src/direct/RouteIndexHolder.js";
 import { RouteKind, type RouteDefinition, type RoutingDocument } from "../../src/direct/RoutingDocument.js";
+import type { RoutedExchange } from "../../src/direct/DirectExchange.js";
+import { computeRetryDelay } from "../../src/direct/attemptRefusals.js";
 import { chooseEndpoint } from "../../src/direct/chooseEndpoint.js";
 
 function buildRecord(id: string, change: Partial<EndpointRecord> = {}): EndpointRecord {
@@ -228,3 +230,9 @@
     );
     t.end();
 });
+
+t.test("a retry delay is never negative, also when the deadline has just passed", t => {
+    const exchange = { deadlineAt: performance.now() - 5 } as RoutedExchange;
+    t.equal(computeRetryDelay(exchange, 250), 0);
+    t.end();
+});
