Refuse at once a request that has no chance of a turn at limited endpoints

Callers: while all endpoints of a service were at their limits, each request waited for its whole target and was then refused. Cause: the admission knew the wait only for the load of endpoints, not for their limits. Change: from what is left of the limits, what they bring until the target, this router's share by demand and the requests before it, the chance of a turn is computed (turnChance.ts); below a tenth the request is refused, as not run. More urgent requests don't count those behind them. StreamAdmission also admits requests that are no streams, and is RequestAdmission now. Two reasons that a moved constant had lost are back.

--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -13,7 +13,7 @@
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { SharedRetryBudget } from "./SharedRetryBudget.js";
-import type { StreamAdmission } from "./StreamAdmission.js";
+import type { RequestAdmission } from "./RequestAdmission.js";
 
 /** Components shared by the request filters of a direct router. */
 export interface DirectContext {
@@ -31,7 +31,7 @@
     quarantine: PartQuarantine;
     outages: OutageDetector;
     pace: ConcurrencyLimiter;
-    admission: StreamAdmission;
+    admission: RequestAdmission;
     logger: Logger;
     /** Extracts the parts of a request's prompt that other requests may share. */
     getSharedParts: (headers: IncomingHttpHeaders) => string[];
--- a/src/direct/StreamAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -1,4 +1,4 @@
-import type { ConcurrencyLimiter, SharedRateLimiter } from "../scheduling/index.js";
+import { type ConcurrencyLimiter, type SharedRateLimiter, computeTurnChance } from "../scheduling/index.js";
 import { computeHashFraction } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
@@ -11,13 +11,13 @@
  * Queues requests while the load of a service's endpoints is limited, or while all endpoints are at the rates that they have
  * named, and admits the most urgent ones first.
  */
-export interface StreamAdmission {
+export interface RequestAdmission {
     /**
      * Waits until an endpoint has capacity for a request.
      * @param tried - Endpoints that don't count.
      * @param isFirst - Whether the request waits for its first send; only this one waits for the load of the endpoints.
-     * @returns Endpoints that may be chosen now, none if none is known; undefined if the request's target could no longer be
-     * met, or its caller disconnected.
+     * @returns Endpoints that may be chosen now, none if none is known; undefined if the request's target can't be met, as
+     * is known at once or after a wait, or if its caller disconnected.
      */
     waitForEndpoints(
         exchange: RoutedExchange,
@@ -33,7 +33,7 @@
 }
 
 /** Options of the admission. */
-export interface StreamAdmissionOptions {
+export interface RequestAdmissionOptions {
     directory: EndpointDirectory;
     load: LoadTracker;
     pace: ConcurrencyLimiter;
@@ -55,6 +55,8 @@
 const LOAD_POLL_INTERVAL_MS = 25;
 /** One in this many admissions goes to the oldest request, so that the least urgent ones are not starved. */
 const ADMISSIONS_PER_OLDEST = 5;
+/** Chance of a turn in time below which a request is refused at once instead of waiting in vain. */
+const MIN_TURN_CHANCE = 0.1;
 /** Smoothing factor of the average time to the first event. */
 const FIRST_EVENT_SMOOTHING = 0.05;
 
@@ -62,7 +64,7 @@
  * Creates the admission of a router.
  * @param options - Endpoints, their load and the limit on it.
  */
-export function createStreamAdmission(options: StreamAdmissionOptions): StreamAdmission {
+export function createRequestAdmission(options: RequestAdmissionOptions): RequestAdmission {
     const { directory, load, pace, limiter, notices } = options;
     const queues = new Map<string, QueuedRequest[]>();
     const polledServices = new Set<string>();
@@ -79,8 +81,8 @@
         const now = readMonotonicMs();
         const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
+        const untried = listUntried(service, tried, now);
         if (!needsFreeSlot || hasFreeSlot) {
-            const untried = listUntried(service, tried, now);
             const open = limiter.drawOpen(untried, service, 1, now);
             if (open.length > 0 || untried.length === 0) {
                 return Promise.resolve(open);
@@ -90,8 +92,11 @@
             exchange.deadlineAt - now,
             Math.max(0, route.targetMs - getAverageFirstEventMs(service)),
         );
+        const urgency = getUrgency(exchange);
+        if (!hasTurnInTime(service, untried, urgency, leftMs)) {
+            return Promise.resolve(undefined);
+        }
         return new Promise(resolve => {
-            const urgency = getUrgency(exchange);
             const entry: QueuedRequest = { exchange, urgency, queuedAt: now, tried, needsFreeSlot, finish };
             const timer = setTimeout(() => finish(undefined), leftMs);
             exchange.abortController.signal.addEventListener("abort", () => finish(undefined), { once: true });
@@ -109,6 +114,17 @@
         });
     }
 
+    function hasTurnInTime(
+        service: string,
+        untried: readonly EndpointRecord[],
+        urgency: number,
+        leftMs: number,
+    ): boolean {
+        const ahead = (queues.get(service) ?? []).filter(other => other.urgency <= urgency).length;
+        const turns = limiter.estimateTurns(untried, service, leftMs, readMonotonicMs());
+        return untried.length === 0 || computeTurnChance(turns, ahead) >= MIN_TURN_CHANCE;
+    }
+
     /** Lists the endpoints of a service that accept requests, without those that were tried. */
     function listUntried(service: string, tried: ReadonlySet<string>, now: number): EndpointRecord[] {
         const untried = directory.listServing(service).filter(({ id }) => !tried.has(id));
--- a/src/direct/computeWatchTimes.ts
+++ b/src/direct/computeWatchTimes.ts
@@ -16,6 +16,7 @@
 const WAIT_FRACTION = 0.2;
 const ANSWER_FRACTION = 0.3;
 const MAX_PERIOD_MS = 900;
+/** Equals the store client's timeout, in milliseconds. */
 const MAX_ANSWER_TIMEOUT_MS = 700;
 /**
  * Maximum time between two answers of a store that answers at once, in milliseconds. It leaves 0.3 s for the answer of a
@@ -27,6 +28,7 @@
 const DOCUMENT_WAIT_FRACTION = 0.5;
 const DOCUMENT_ANSWER_FRACTION = 0.3;
 const DOCUMENT_PERIOD_MS = 50;
+/** Longest wait of a watch of the document, in milliseconds; peers announce a version that the router misses meanwhile. */
 const MAX_DOCUMENT_WAIT_MS = 2_500;
 
 /**
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -29,7 +29,7 @@
 import type { RouteIndex } from "./RouteIndex.js";
 import { createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
-import { createStreamAdmission } from "./StreamAdmission.js";
+import { createRequestAdmission } from "./RequestAdmission.js";
 import { buildDirectControl } from "./directControl.js";
 import { createFindRoute } from "./filters/findRoute.js";
 import { createFindTeam } from "./filters/findTeam.js";
@@ -164,7 +164,7 @@
         directory,
         load,
         pace,
-        admission: createStreamAdmission({ directory, load, pace, limiter, notices }),
+        admission: createRequestAdmission({ directory, load, pace, limiter, notices }),
         health,
         limiter,
         notices,
--- a/src/scheduling/SharedRateLimiter.ts
+++ b/src/scheduling/SharedRateLimiter.ts
@@ -32,6 +32,11 @@
      * @param attempts - Number of requests that wait for the outcome.
      */
     drawOpen<T extends { id: string }>(endpoints: readonly T[], service: string, attempts: number, now: number): T[];
+    /**
+     * Estimates how many requests this router may send to the endpoints within a time; infinite if one of them has no limit.
+     * @param withinMs - Time, in milliseconds.
+     */
+    estimateTurns(endpoints: readonly { id: string }[], service: string, withinMs: number, now: number): number;
     /** Gets the used share of an endpoint's limit; 0 without a limit. */
     getUsedShare(endpoint: string, now: number): number;
     /** Gets the limit in force, in requests per second; undefined if there is none. */
@@ -109,6 +114,7 @@
         recordLimit,
         recordSend,
         drawOpen,
+        estimateTurns,
         getUsedShare,
         getLimit: endpoint => limits.get(endpoint)?.perSecond,
         countLimited: () => [...limits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
@@ -155,6 +161,27 @@
         });
     }
 
+    /** The room falls to the routers in proportion to their attempts. */
+    function estimateTurns(
+        endpoints: readonly { id: string }[],
+        service: string,
+        withinMs: number,
+        now: number,
+    ): number {
+        // The request itself is an attempt that may not be counted yet.
+        const ownShare = (countOwnAttempts(service, now) + 1) / (countAttempts(service, now) + 1);
+        let turns = 0;
+        for (const { id } of endpoints) {
+            const perSecond = limits.get(id)?.perSecond;
+            if (perSecond === undefined) {
+                return Number.POSITIVE_INFINITY;
+            }
+            const gained = (perSecond * options.getShare() * withinMs) / MS_PER_SECOND;
+            turns += Math.max(0, computeRoom(id, now)) + gained;
+        }
+        return turns * ownShare;
+    }
+
     function computeRoom(endpoint: string, now: number): number {
         const limit = limits.get(endpoint);
         if (limit?.perSecond === undefined) {
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -12,3 +12,4 @@
 export * from "./OutageDetector.js";
 export * from "./ConcurrencyLimiter.js";
 export * from "./SharedRateLimiter.js";
+export * from "./turnChance.js";
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -5,7 +5,7 @@
 import { createLogger } from "../../src/telemetry/logger.js";
 import { createLoadTracker } from "../../src/direct/LoadTracker.js";
 import { createEndpointNotices } from "../../src/direct/EndpointNotices.js";
-import { createStreamAdmission } from "../../src/direct/StreamAdmission.js";
+import { createRequestAdmission } from "../../src/direct/RequestAdmission.js";
 
 /** Creates the admission for a service of one endpoint with two slots, of which a configurable share is allowed. */
 function startAdmission() {
@@ -31,7 +31,7 @@
     const limiter = createSharedRateLimiter({ getReportDelayMs: () => 0, getShare: () => 1, drawRandom: () => 0 });
     const logger = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
     const notices = createEndpointNotices(limiter, logger);
-    const admission = createStreamAdmission({ directory, load, pace, limiter, notices });
+    const admission = createRequestAdmission({ directory, load, pace, limiter, notices });
     return {
         load,
         limiter,
@@ -100,6 +100,31 @@
     },
 );
 
+t.test(
+    "a request without a chance of a turn at limited endpoints is refused at once, and a more urgent one waits",
+    async t => {
+        t.clock.enter();
+        const { limiter, waitForCapacity } = startAdmission();
+        const now = performance.now();
+        limiter.recordLimit("i-1", 0.5, now);
+        limiter.recordSend("i-1", now);
+        limiter.recordSend("i-1", now);
+        const results: string[] = [];
+        const route = { targetMs: 1_000, maxPauseMs: 0 };
+        const waits = [2, 2, 2, 0].map(async (urgency, index) => {
+            const isAdmitted = await waitForCapacity(buildExchange(urgency, { route: { ...route, urgency } as never }));
+            results.push(`${index} ${isAdmitted ? "admitted" : "refused"}`);
+        });
+        await Promise.resolve();
+        await Promise.resolve();
+        t.strictSame(results, ["1 refused", "2 refused"]);
+        t.clock.advance(1_100);
+        await Promise.all(waits);
+        t.equal(results.length, 4);
+        t.clock.exit();
+    },
+);
+
 t.test("the most urgent request is admitted first when another ends", async t => {
     const { admission, waitForCapacity, load } = startAdmission();
     ["1", "2", "3"].forEach(() => load.startRequest("i-1"));
--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -16,6 +16,8 @@
 const ROUTERS = 4;
 const CALL_PERIOD_MS = 50;
 const SETTLE_MS = 1_000;
+/** Target of the route of these tests, in milliseconds: nobody waits for longer to be refused. */
+const TARGET_MS = 300;
 /** Time that an endpoint takes which is to be loaded, in milliseconds. */
 const SLOW_MS = 300;
 
@@ -38,14 +40,23 @@
     return systems;
 }
 
+/** Answer with the time that the caller waited for it, in milliseconds. */
+type TimedAnswer = CallerAnswer & { lastedMs: number };
+
+async function callTimed(system: DirectSystem, headers: Record<string, string>): Promise<TimedAnswer> {
+    const startedAt = readMonotonicMs();
+    const answer = await callRouter(system, { path: "/stock/1", headers });
+    return { ...answer, lastedMs: readMonotonicMs() - startedAt };
+}
+
 /** Sends requests through all routers for a time; each call has its own identifier. */
-async function sendRequests(systems: readonly DirectSystem[], lastsMs: number): Promise<CallerAnswer[]> {
-    const calls: Promise<CallerAnswer>[] = [];
+async function sendRequests(systems: readonly DirectSystem[], lastsMs: number): Promise<TimedAnswer[]> {
+    const calls: Promise<TimedAnswer>[] = [];
     const startedAt = readMonotonicMs();
     while (readMonotonicMs() - startedAt < lastsMs) {
         systems.forEach(system => {
             const headers = { "attempt-id": `a-${calls.length}` };
-            calls.push(callRouter(system, { path: "/stock/1", headers }));
+            calls.push(callTimed(system, headers));
         });
         await waitFor(CALL_PERIOD_MS);
     }
@@ -107,6 +118,9 @@
     const refused = answers.filter(({ status }) => status !== 200);
     t.ok(refused.length > 0);
     t.ok(refused.every(({ status, headers }) => status === 503 && Number(headers["retry-after"]) > 0));
+    const lasted = refused.map(({ lastedMs }) => lastedMs).sort((left, right) => left - right);
+    const medianMs = lasted[Math.floor(lasted.length / 2)] ?? 0;
+    t.ok(medianMs < TARGET_MS / 2, `half of the refusals came after ${Math.round(medianMs)} ms`);
 });
 
 t.test("an endpoint that ends its limit gets all requests again", async t => {
--- a/tests/scheduling/SharedRateLimiterTests.ts
+++ b/tests/scheduling/SharedRateLimiterTests.ts
@@ -219,6 +219,24 @@
     t.end();
 });
 
+t.test(
+    "the turns of a router are its share of the limits by demand, and without end beside an endpoint without a limit",
+    t => {
+        const limiter = createLimiter();
+        t.equal(limiter.estimateTurns([ENDPOINT], "app", 0, 0), Number.POSITIVE_INFINITY);
+        limiter.recordLimit("e-1", 2, 0);
+        t.equal(
+            limiter.estimateTurns([ENDPOINT], "app", 1_000, 0),
+            10,
+            "8 in the window and 2 a second, nobody else wants any",
+        );
+        limiter.setUsage("peer", false, { limits: { "e-1": [2, 0, 8] }, attempts: { app: 3 } }, 0);
+        t.equal(limiter.estimateTurns([ENDPOINT], "app", 1_000, 0), 0.5, "a quarter of 2");
+        t.equal(limiter.estimateTurns([ENDPOINT, { id: "e-2" }], "app", 1_000, 0), Number.POSITIVE_INFINITY);
+        t.end();
+    },
+);
+
 t.test("an endpoint that takes nothing is asked now and then whether that still holds", t => {
     const limiter = createLimiter();
     limiter.recordLimit("e-1", 0, 0);
