--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -95,7 +95,7 @@
     }
 });
 
-t.test("requests beyond the limits of all endpoints are refused at once, as not run, with a true delay", async t => {
+t.test("requests beyond the limits of all endpoints are refused at once, as not run, with a delay", async t => {
     const systems = await startRouters(t, 2);
     const arrivals: number[][] = [[], []];
     systems[0]?.endpoints.forEach((endpoint, index) => {
