--- a/src/config/DocumentRepository.ts
+++ b/src/config/DocumentRepository.ts
@@ -95,7 +95,7 @@
     ): Promise<WatchedDocument> {
         const answer = await service.watchEntries(createKey(environment), afterRevision, timeoutMs, signal);
         const entry = answer.changed.at(-1);
-        return { revision: answer.revision, stored: entry && readEntry(entry) };
+        return { revision: answer.position.revision, stored: entry && readEntry(entry) };
     }
 }
 
--- a/src/errors/ErrorCode.ts
+++ b/src/errors/ErrorCode.ts
@@ -4,6 +4,8 @@
     PlatformUnavailable = "PlatformUnavailable",
     /** The platform's answer was lost; the call may have taken effect. */
     PlatformUncertain = "PlatformUncertain",
+    /** The lease that a write names has ended; the write had no effect. */
+    LeaseEnded = "LeaseEnded",
     /** The service has dropped the history that a watch asks for; a new listing is needed. */
     HistoryLost = "HistoryLost",
     /** The other process, of an earlier version, doesn't have the procedure. */
--- a/src/platform/HttpKeyValueService.ts
+++ b/src/platform/HttpKeyValueService.ts
@@ -42,6 +42,8 @@
 const STATUS_OK = 200;
 const STATUS_TOO_MANY = 429;
 const MAX_SOCKETS = 16;
+/** The protocol doesn't tell of restores. */
+const UNKNOWN_ERA = 0;
 
 /**
  * Creates a client of the JSON gateway of the etcd v3 API.
@@ -65,16 +67,18 @@
 
         override async listSnapshot(prefix: string): Promise<Listing> {
             const answer = await post<WireRangeAnswer>("/v3/kv/range", encodeRange(prefix));
-            return { entries: (answer.kvs ?? []).map(readEntry), revision: Number(answer.header.revision) };
+            const position = { era: UNKNOWN_ERA, revision: Number(answer.header.revision) };
+            return { entries: (answer.kvs ?? []).map(readEntry), position };
         }
 
         override async swapEntry(swap: SwapOptions): Promise<SwapAnswer> {
             const answer = await post<WireSwapAnswer>("/v3/kv/txn", encodeSwap(swap));
             if (answer.succeeded === true) {
-                return { applied: true, current: createWrittenEntry(swap, Number(answer.header.revision)) };
+                const current = createWrittenEntry(swap, Number(answer.header.revision));
+                return { applied: true, era: UNKNOWN_ERA, current };
             }
             const entry = answer.responses?.[0]?.response_range?.kvs?.[0];
-            return { applied: false, current: entry && readEntry(entry) };
+            return { applied: false, era: UNKNOWN_ERA, current: entry && readEntry(entry) };
         }
 
         override async grantLease(ttlMs: number): Promise<string> {
@@ -171,7 +175,8 @@
         request.end(body);
 
         function finishEmpty(): void {
-            finish({ revision: bounds.afterRevision, changed: [], deleted: [] });
+            const position = { era: UNKNOWN_ERA, revision: bounds.afterRevision };
+            finish({ position, changed: [], deleted: [] });
         }
 
         function finish(answer: WatchAnswer): void {
@@ -195,7 +200,7 @@
     const revision = Math.max(...answers.map(answer => Number(answer.result.header.revision)));
     const isDeletion = (event: { type?: string }): boolean => event.type === "DELETE";
     return {
-        revision,
+        position: { era: UNKNOWN_ERA, revision },
         changed: events.filter(event => !isDeletion(event)).map(event => readEntry(event.kv)),
         deleted: events.filter(isDeletion).map(event => decodeText(event.kv.key)),
     };
--- a/src/platform/KeyValueService.ts
+++ b/src/platform/KeyValueService.ts
@@ -1,3 +1,5 @@
+import type { StorePosition } from "./StorePosition.js";
+
 /** An entry of the platform's key-value service. */
 export interface KeyValueEntry {
     key: string;
@@ -20,22 +22,24 @@
 /** Answer to a compare-and-swap. */
 export interface SwapAnswer {
     applied: boolean;
+    /** Era of the service's history in which the swap was decided. */
+    era: number;
     /** Entry after the call; undefined if the key is absent. */
     current: KeyValueEntry | undefined;
 }
 
 /** Answer to a watch: entries changed after a revision. */
 export interface WatchAnswer {
-    /** Revision up to which the changes are known. */
-    revision: number;
+    /** Position up to which the changes are known. */
+    position: StorePosition;
     changed: KeyValueEntry[];
     deleted: string[];
 }
 
-/** Entries below a prefix, and the revision from which a watch continues. */
+/** Entries below a prefix, and the position from which a watch continues. */
 export interface Listing {
     entries: KeyValueEntry[];
-    revision: number;
+    position: StorePosition;
 }
 
 /** Options of a listing. */
@@ -47,6 +51,7 @@
 /**
  * The platform's key-value service.
  *
+ * A lease belongs to the era in which it was granted: its identifier may be given out again in the next one.
  * Every method rejects with `PlatformUnavailable` when the call had no effect,
  * and with `PlatformUncertain` when the response was lost and the call may have taken effect.
  */
@@ -86,7 +91,7 @@
     /**
      * Renews a lease.
      * @param leaseId - Identifier of the lease.
-     * @returns False if the lease has expired.
+     * @returns False if the lease has expired, or was granted in an earlier era.
      */
     abstract renewLease(leaseId: string): Promise<boolean>;
 
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -149,7 +149,7 @@
     }
 
     function applyListing(listing: Listing): void {
-        revision = listing.revision;
+        revision = listing.position.revision;
         revisions = new Map(listing.entries.map(entry => [entry.key, entry.revision]));
         listener.onListing(listing.entries);
     }
@@ -165,6 +165,6 @@
             revisions.delete(key);
             listener.onDeleted(key);
         }
-        revision = Math.max(revision ?? 0, answer.revision);
+        revision = Math.max(revision ?? 0, answer.position.revision);
     }
 }
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,4 +1,5 @@
 export * from "./KeyValueService.js";
+export * from "./StorePosition.js";
 export * from "./HostList.js";
 export { CallResult, createInstrumentedService as createCountedService } from "./InstrumentedService.js";
 export { createHttpKeyValueService } from "./HttpKeyValueService.js";
--- a/standins/platform/KeyValueStore.ts
+++ b/standins/platform/KeyValueStore.ts
@@ -1,3 +1,4 @@
+import { ErrorCode, createError } from "../../src/errors/index.js";
 import {
     type KeyValueEntry,
     KeyValueService,
@@ -17,6 +18,21 @@
     endLeases(): void;
     /** Changes an entry behind the back of its users, as an old copy of the platform would. */
     overwriteEntry(key: string, value: string): void;
+    /** Gets the number of restores. */
+    getEra(): number;
+    /** Takes a backup. */
+    takeBackup(): StoreBackup;
+    /** Goes back to a backup: later writes and leases are gone, and their revisions and identifiers are given out again. */
+    restoreBackup(backup: StoreBackup): void;
+}
+
+/** State of the service at one time. */
+export interface StoreBackup {
+    entries: Map<string, KeyValueEntry>;
+    leases: Map<string, Lease>;
+    changes: Change[];
+    revision: number;
+    leaseCount: number;
 }
 
 interface Lease {
@@ -35,12 +51,13 @@
 
 /** Creates a key-value service in memory, on the clock of the runtime. */
 export function createKeyValueStore(): KeyValueStore {
-    const entries = new Map<string, KeyValueEntry>();
-    const leases = new Map<string, Lease>();
-    const changes: Change[] = [];
+    let entries = new Map<string, KeyValueEntry>();
+    let leases = new Map<string, Lease>();
+    let changes: Change[] = [];
     const waiting = new Set<() => void>();
     let revision = 0;
     let leaseCount = 0;
+    let era = 0;
 
     return new (class MemoryKeyValueStore extends KeyValueService implements KeyValueStore {
         override async getEntry(key: string): Promise<KeyValueEntry | undefined> {
@@ -54,14 +71,18 @@
         }
 
         override async listSnapshot(prefix: string): Promise<Listing> {
-            return { entries: await this.listEntries(prefix), revision };
+            return { entries: await this.listEntries(prefix), position: { era, revision } };
         }
 
         override async swapEntry(swap: SwapOptions): Promise<SwapAnswer> {
             expireLeases();
             const current = entries.get(swap.key);
             if ((current?.revision ?? 0) !== swap.expectedRevision) {
-                return { applied: false, current };
+                return { applied: false, era, current };
+            }
+            if (swap.leaseId !== undefined && !leases.has(swap.leaseId)) {
+                const expected = `lease ${swap.leaseId}`;
+                throw createError({ code: ErrorCode.LeaseEnded, expected, got: "no such lease" });
             }
             if (swap.value === undefined) {
                 deleteEntry(swap.key);
@@ -72,7 +93,7 @@
                     leases.get(swap.leaseId)?.keys.add(swap.key);
                 }
             }
-            return { applied: true, current: entries.get(swap.key) };
+            return { applied: true, era, current: entries.get(swap.key) };
         }
 
         override async grantLease(ttlMs: number): Promise<string> {
@@ -97,6 +118,10 @@
             timeoutMs: number,
             signal?: AbortSignal,
         ): Promise<WatchAnswer> {
+            if (afterRevision > revision) {
+                const expected = `changes after revision ${afterRevision}`;
+                throw createError({ code: ErrorCode.HistoryLost, expected, got: `revision ${revision}` });
+            }
             const found = collectChanges(prefix, afterRevision);
             if (found !== undefined) {
                 return found;
@@ -114,7 +139,8 @@
                     clearTimeout(timer);
                     waiting.delete(check);
                     signal?.removeEventListener("abort", finish);
-                    resolve(collectChanges(prefix, afterRevision) ?? { revision, changed: [], deleted: [] });
+                    const position = { era, revision };
+                    resolve(collectChanges(prefix, afterRevision) ?? { position, changed: [], deleted: [] });
                 }
             });
         }
@@ -136,6 +162,24 @@
         overwriteEntry(key: string, value: string): void {
             writeEntry(key, value);
         }
+
+        getEra(): number {
+            return era;
+        }
+
+        takeBackup(): StoreBackup {
+            const kept = [...leases].map(([id, lease]) => [id, { ...lease, keys: new Set(lease.keys) }] as const);
+            return { entries: new Map(entries), leases: new Map(kept), changes: [...changes], revision, leaseCount };
+        }
+
+        restoreBackup(backup: StoreBackup): void {
+            entries = new Map(backup.entries);
+            leases = new Map(backup.leases);
+            changes = [...backup.changes];
+            revision = backup.revision;
+            leaseCount = backup.leaseCount;
+            era++;
+        }
     })();
 
     function writeEntry(key: string, value: string): void {
@@ -166,7 +210,7 @@
         }
         const keys = [...new Set(since.map(change => change.key))];
         const present = keys.map(key => entries.get(key)).filter(entry => entry !== undefined);
-        return { revision, changed: present, deleted: keys.filter(key => !entries.has(key)) };
+        return { position: { era, revision }, changed: present, deleted: keys.filter(key => !entries.has(key)) };
     }
 
     function expireLeases(): void {
--- a/standins/platform/platformStandin.ts
+++ b/standins/platform/platformStandin.ts
@@ -185,10 +185,10 @@
         response.write(`${JSON.stringify({ result: { header: createHeader(), created: true } })}\n`);
         while (!response.destroyed && !faults.isDown) {
             const answer = await store.watchEntries(prefix, after, WATCH_MS, controller.signal);
-            after = answer.revision;
+            after = answer.position.revision;
             const puts = answer.changed.map(entry => ({ kv: encodeEntry(entry) }));
             const deletions = answer.deleted.map(key => ({ type: "DELETE", kv: { key: encodeText(key) } }));
-            const header = { revision: String(answer.revision) };
+            const header = { revision: String(after) };
             response.write(`${JSON.stringify({ result: { header, events: [...puts, ...deletions] } })}\n`);
         }
         response.destroy();
--- a/standins/platform/storeStandin.ts
+++ b/standins/platform/storeStandin.ts
@@ -1,5 +1,7 @@
 import type http from "node:http";
 import { match } from "ts-pattern";
+import { ErrorCode, hasErrorCode } from "../../src/errors/index.js";
+import type { SwapAnswer } from "../../src/platform/index.js";
 import { sendJson } from "../../src/utils/http.js";
 import { type Standin, startStandin } from "../Standin.js";
 import { type KeyValueStore, createKeyValueStore } from "./KeyValueStore.js";
@@ -41,6 +43,11 @@
     const standin = await startStandin(0, handle);
     return { ...standin, store, faults, calls };
 
+    function send(response: http.ServerResponse, status: number, value: unknown): void {
+        response.setHeader("store-era", String(store.getEra()));
+        sendJson(response, status, value);
+    }
+
     async function handle(request: http.IncomingMessage, response: http.ServerResponse, body: unknown): Promise<void> {
         const url = new URL(request.url ?? "/", "http://store");
         calls.push(url.pathname);
@@ -48,7 +55,7 @@
             return;
         }
         if (faults.status !== undefined) {
-            sendJson(response, faults.status, {});
+            send(response, faults.status, {});
             return;
         }
         await match(url.pathname)
@@ -58,24 +65,24 @@
             .with("/kv-txn", () => applyTransaction(request, response, body as WireTransaction))
             .with("/kv-lease", async () => {
                 const leaseId = await store.grantLease((body as { ttl_ms: number }).ttl_ms);
-                sendJson(response, 200, { lease_id: Number(leaseId), ttl_ms: (body as { ttl_ms: number }).ttl_ms });
+                send(response, 200, { lease_id: Number(leaseId), ttl_ms: (body as { ttl_ms: number }).ttl_ms });
             })
             .otherwise(async path => {
                 const isLive = path.startsWith("/kv-keep/") && (await store.renewLease(path.slice("/kv-keep/".length)));
-                sendJson(response, isLive ? 200 : 404, isLive ? { ttl_ms: 1 } : {});
+                send(response, isLive ? 200 : 404, isLive ? { ttl_ms: 1 } : {});
             });
     }
 
     async function sendEntry(response: http.ServerResponse, key: string): Promise<void> {
         const entry = await store.getEntry(key);
-        sendJson(response, entry === undefined ? 404 : 200, entry === undefined ? {} : encodeItem(entry));
+        send(response, entry === undefined ? 404 : 200, entry === undefined ? {} : encodeItem(entry));
     }
 
     async function sendPage(response: http.ServerResponse, query: URLSearchParams): Promise<void> {
         const all = await store.listEntries(query.get("path_prefix") ?? "");
         const after = query.get("after") ?? "";
         const rest = all.filter(entry => entry.key > after).sort((left, right) => (left.key < right.key ? -1 : 1));
-        sendJson(response, 200, {
+        send(response, 200, {
             entries: rest.slice(0, PAGE_SIZE).map(encodeItem),
             has_more: rest.length > PAGE_SIZE,
             at: store.getRevision(),
@@ -84,13 +91,18 @@
 
     async function sendChanges(response: http.ServerResponse, query: URLSearchParams): Promise<void> {
         if (faults.isHistoryLost) {
-            sendJson(response, 410, {});
+            send(response, 410, {});
             return;
         }
         const after = Number(query.get("after"));
+        if (after > store.getRevision()) {
+            send(response, 410, {});
+            return;
+        }
         const answer = await store.watchEntries(query.get("path_prefix") ?? "", after, Number(query.get("wait_ms")));
-        const deleted = answer.deleted.map(key => ({ key, revision: answer.revision, deleted: true }));
-        sendJson(response, 200, { events: [...answer.changed.map(encodeItem), ...deleted], at: answer.revision });
+        const { revision } = answer.position;
+        const deleted = answer.deleted.map(key => ({ key, revision, deleted: true }));
+        send(response, 200, { events: [...answer.changed.map(encodeItem), ...deleted], at: revision });
     }
 
     async function applyTransaction(
@@ -100,20 +112,29 @@
     ): Promise<void> {
         const [expected] = transaction.expected_revision;
         const [write] = transaction.write;
-        const answer = await store.swapEntry({
-            key: expected?.key ?? "",
-            expectedRevision: expected?.revision ?? 0,
-            value: write && Buffer.from(write.value, "base64").toString("utf8"),
-            leaseId: write?.lease_id ? String(write.lease_id) : undefined,
-        });
+        let answer: SwapAnswer;
+        try {
+            answer = await store.swapEntry({
+                key: expected?.key ?? "",
+                expectedRevision: expected?.revision ?? 0,
+                value: write && Buffer.from(write.value, "base64").toString("utf8"),
+                leaseId: write?.lease_id ? String(write.lease_id) : undefined,
+            });
+        } catch (error) {
+            if (!hasErrorCode(error, ErrorCode.LeaseEnded)) {
+                throw error;
+            }
+            send(response, 404, {});
+            return;
+        }
         if (faults.lostAnswers > 0) {
             faults.lostAnswers--;
             request.socket.destroy();
         } else if (answer.applied) {
-            sendJson(response, 200, { revision: store.getRevision() });
+            send(response, 200, { revision: store.getRevision() });
         } else {
             const current = answer.current && encodeItem(answer.current);
-            sendJson(response, 412, { entries: [current ?? { key: expected?.key, revision: 0 }] });
+            send(response, 412, { entries: [current ?? { key: expected?.key, revision: 0 }] });
         }
     }
 }
--- a/tests/platform/storeClientTests.ts
+++ b/tests/platform/storeClientTests.ts
@@ -35,7 +35,7 @@
         listing.entries.map(entry => entry.value),
         [1, 2, 3, 4, 5, 6, 7].map(index => `ü${index}`),
     );
-    t.equal(listing.revision, 7);
+    t.equal(listing.position.revision, 7);
     const refused = await client.swapEntry({ key: "a/3", expectedRevision: 9, value: "other" });
     t.match(refused, { applied: false, current: { value: "ü3", revision: 3 } });
     t.match(await client.swapEntry({ key: "a/3", expectedRevision: 3, value: undefined }), { applied: true });
@@ -51,7 +51,7 @@
     await client.swapEntry({ key: "a/2", expectedRevision: 0, value: "two" });
     await client.swapEntry({ key: "a/1", expectedRevision: 1, value: undefined });
     const answer = await client.watchEntries("a/", 1, 100);
-    t.match(answer, { revision: 3, changed: [{ key: "a/2" }], deleted: ["a/1"] });
+    t.match(answer, { position: { era: 0, revision: 3 }, changed: [{ key: "a/2" }], deleted: ["a/1"] });
 });
 
 t.test("failures tell whether a call may have had an effect", async t => {
