--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -2,6 +2,7 @@
     type KeyValueEntry,
     type KeyValueService,
     type PrefixWatcher,
+    type StorePosition,
     type WatcherCall,
     startPrefixWatcher,
 } from "../platform/index.js";
@@ -61,6 +62,10 @@
     let answeredAt = Number.NEGATIVE_INFINITY;
     let documentAnsweredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
+    /** Highest era of the store's history that was read; undefined before the first answer. */
+    let era: number | undefined;
+    /** Version of the document that the store holds; undefined before it was read. */
+    let storedVersion: number | undefined;
     let isDown = false;
     /** The store's newest document can't be read, so the active one is not the newest. */
     let isDocumentRejected = false;
@@ -158,10 +163,24 @@
             logger.logEvent(EventId.DocumentRejected, { revision: entry.revision, problem: decoded.problem });
             return;
         }
+        const { version } = decoded.value;
+        if (version < holder.getVersion() && version !== storedVersion) {
+            const facts = { version, active: holder.getVersion(), revision: entry.revision };
+            logger.logEvent(EventId.OlderDocumentRead, facts);
+        }
+        storedVersion = version;
         holder.applyDocument(decoded.value, "platform");
     }
 
-    function confirmDocument(): void {
+    function recordEra(position: StorePosition): void {
+        if (era !== undefined && position.era > era) {
+            logger.logEvent(EventId.PlatformRolledBack, { ...position, active: holder.getVersion() });
+        }
+        era = Math.max(era ?? 0, position.era);
+    }
+
+    function confirmDocument(position: StorePosition): void {
+        recordEra(position);
         documentAnsweredAt = readMonotonicMs();
         if (!isDocumentRejected && holder.getVersion() > 0) {
             options.documentKnowledge.recordConfirmed(holder.getVersion(), 0);
@@ -186,7 +205,9 @@
         return decoded.value;
     }
 
-    function recordAnswer(revision: number): void {
+    function recordAnswer(position: StorePosition): void {
+        const { revision } = position;
+        recordEra(position);
         endpointRevision = revision;
         if (!isResuming) {
             logLateAnswer(readMonotonicMs() - answeredAt);
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -1,6 +1,7 @@
 import { ErrorCode, createError, hasErrorCode } from "../errors/index.js";
 import { type Loop, readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
 import type { KeyValueEntry, KeyValueService, Listing, WatchAnswer } from "./KeyValueService.js";
+import { START_POSITION, type StorePosition } from "./StorePosition.js";
 
 /** A call that a watcher has made. */
 export interface WatcherCall {
@@ -18,7 +19,7 @@
     /** Also called for an entry that was written and deleted between two answers, as the listener may know it from elsewhere. */
     onDeleted(key: string): void;
     /** Called after each answer of the service, with or without changes. */
-    onAnswer(revision: number): void;
+    onAnswer(position: StorePosition): void;
     /** Called when a call has failed; the watcher retries it. */
     onFailure(error: unknown, call: WatcherCall): void;
 }
@@ -59,7 +60,7 @@
  */
 export function startPrefixWatcher(options: PrefixWatcherOptions): PrefixWatcher {
     const { service, prefix, listener } = options;
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     /** Revisions of the entries, to ignore changes that an earlier answer already contained. */
     let revisions = new Map<string, number>();
     let retryDelayMs = FIRST_RETRY_MS;
@@ -69,7 +70,7 @@
     const loop: Loop = startLoop(0, runCycle, () => undefined);
     return {
         restart() {
-            revision = undefined;
+            position = undefined;
             currentCall.abort();
         },
         async stop() {
@@ -84,18 +85,18 @@
             return;
         }
         const startedAt = readMonotonicMs();
-        const fromRevision = revision ?? 0;
+        const fromRevision = position?.revision ?? 0;
         currentCall = new AbortController();
         const signal = AbortSignal.any([stopping, currentCall.signal]);
         try {
-            if (revision === undefined) {
+            if (position === undefined) {
                 const listing = await service.listSnapshot(prefix);
                 if (currentCall.signal.aborted) {
                     return;
                 }
                 applyListing(listing);
             } else {
-                const answer = await watchWithTimeout(revision, signal);
+                const answer = await watchWithTimeout(position.revision, signal);
                 if (currentCall.signal.aborted) {
                     return;
                 }
@@ -103,17 +104,17 @@
             }
             consecutiveTimeouts = 0;
             retryDelayMs = FIRST_RETRY_MS;
-            listener.onAnswer(revision ?? 0);
+            listener.onAnswer(position ?? START_POSITION);
         } catch (error) {
             if (currentCall.signal.aborted) {
                 return;
             }
             if (hasErrorCode(error, ErrorCode.HistoryLost)) {
-                revision = undefined;
+                position = undefined;
                 return;
             }
             const lastedMs = readMonotonicMs() - startedAt;
-            listener.onFailure(error, { isListing: revision === undefined, fromRevision, lastedMs });
+            listener.onFailure(error, { isListing: position === undefined, fromRevision, lastedMs });
             if (hasErrorCode(error, ErrorCode.Timeout)) {
                 return;
             }
@@ -149,7 +150,7 @@
     }
 
     function applyListing(listing: Listing): void {
-        revision = listing.position.revision;
+        position = listing.position;
         revisions = new Map(listing.entries.map(entry => [entry.key, entry.revision]));
         listener.onListing(listing.entries);
     }
@@ -165,6 +166,7 @@
             revisions.delete(key);
             listener.onDeleted(key);
         }
-        revision = Math.max(revision ?? 0, answer.position.revision);
+        const { era } = answer.position;
+        position = { era, revision: Math.max(position?.revision ?? 0, answer.position.revision) };
     }
 }
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -31,6 +31,8 @@
     EndpointNewsLate = 5004,
     StoreDutyChanged = 5005,
     DocumentNewsLate = 5006,
+    PlatformRolledBack = 5007,
+    OlderDocumentRead = 5008,
     HostLeft = 5102,
     PeerRejected = 5201,
     PeerUnreachable = 5202,
