List the entries again when the store's history has begun anew

Cause: a watch went on from its old revision after a restore. Once the counter had passed that revision no 410 told, and all changes between the copy and that revision were never seen; a change of the new history at a revision below the one remembered for its key was dropped, and a listing could join pages of two histories. What callers would see: a change of the document, or an endpoint that leaves, is not in force. Evidence: three tests, run before the change: 'changed four' in place of a listing of 'one three four'; the old value kept; a listing of era 0 with entries of era 1. Change: answers of another era than the last listing are not applied; the entries are listed again.

--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -13,6 +13,8 @@
 
 /** Receives the changes of the entries below a prefix. */
 export interface PrefixListener {
+    /** Called before the entries of an answer in another era than the last one are reported; such an answer is a listing. */
+    onEra?: (position: StorePosition) => void;
     /** Called with all entries after the start, after a restart, and when the history was lost. */
     onListing(entries: readonly KeyValueEntry[]): void;
     onChanged(entry: KeyValueEntry): void;
@@ -61,6 +63,8 @@
 export function startPrefixWatcher(options: PrefixWatcherOptions): PrefixWatcher {
     const { service, prefix, listener } = options;
     let position: StorePosition | undefined;
+    /** Era of the last listing. */
+    let listedEra: number | undefined;
     /** Revisions of the entries, to ignore changes that an earlier answer already contained. */
     let revisions = new Map<string, number>();
     let retryDelayMs = FIRST_RETRY_MS;
@@ -100,6 +104,11 @@
                 if (currentCall.signal.aborted) {
                     return;
                 }
+                if (answer.position.era !== position.era) {
+                    // The answer lacks what the service's new history holds up to the revision that the watch went on from.
+                    position = undefined;
+                    return;
+                }
                 applyAnswer(answer);
             }
             consecutiveTimeouts = 0;
@@ -151,6 +160,10 @@
 
     function applyListing(listing: Listing): void {
         position = listing.position;
+        if (position.era !== listedEra) {
+            listedEra = position.era;
+            listener.onEra?.(position);
+        }
         revisions = new Map(listing.entries.map(entry => [entry.key, entry.revision]));
         listener.onListing(listing.entries);
     }
--- a/tests/platform/prefixWatcherTests.ts
+++ b/tests/platform/prefixWatcherTests.ts
@@ -116,3 +116,39 @@
     await watcher.stop();
     t.strictSame(seen, ["listed one two"]);
 });
+
+t.test("changes that a restored store made below the last revision are not missed", async t => {
+    const store = createKeyValueStore();
+    await store.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    const backup = store.takeBackup();
+    await store.swapEntry({ key: "a/2", expectedRevision: 0, value: "lost" });
+    const { seen, watcher } = startRecorder(store);
+    await waitFor(SETTLE_MS);
+    store.restoreBackup(backup);
+    await store.swapEntry({ key: "a/3", expectedRevision: 0, value: "three" });
+    await waitFor(SETTLE_MS);
+    await store.swapEntry({ key: "a/4", expectedRevision: 0, value: "four" });
+    await waitFor(SETTLE_MS);
+    await watcher.stop();
+    t.strictSame(seen, ["listed one lost", "listed one three four"]);
+});
+
+t.test("a change that a restored store made at a lower revision of the same key is reported", async t => {
+    const store = createKeyValueStore();
+    await store.swapEntry({ key: "a/1", expectedRevision: 0, value: "one" });
+    const backup = store.takeBackup();
+    for (const revision of [1, 2, 3]) {
+        await store.swapEntry({ key: "a/1", expectedRevision: revision, value: `lost ${revision}` });
+    }
+    const { seen, watcher } = startRecorder(store);
+    await waitFor(SETTLE_MS);
+    store.restoreBackup(backup);
+    await store.swapEntry({ key: "b/1", expectedRevision: 0, value: "other" });
+    await store.swapEntry({ key: "b/1", expectedRevision: 2, value: "other" });
+    await store.swapEntry({ key: "a/1", expectedRevision: 1, value: "four" });
+    await store.swapEntry({ key: "b/1", expectedRevision: 3, value: "other" });
+    await store.swapEntry({ key: "a/2", expectedRevision: 0, value: "two" });
+    await waitFor(SETTLE_MS);
+    await watcher.stop();
+    t.equal(seen.at(-1), "listed four two");
+});
--- a/tests/platform/storeClientTests.ts
+++ b/tests/platform/storeClientTests.ts
@@ -91,3 +91,25 @@
     t.ok((later ?? 0) > (term ?? 0), "a later office has a higher term");
     t.equal(second.getTerm(), later);
 });
+
+t.test("a listing whose pages lie before and after a restore is read again", async t => {
+    const { standin, client } = await startStore(t);
+    for (let index = 1; index <= 4; index++) {
+        await client.swapEntry({ key: `a/${index}`, expectedRevision: 0, value: `old ${index}` });
+    }
+    const backup = standin.store.takeBackup();
+    const list = standin.store.listEntries.bind(standin.store);
+    let pages = 0;
+    standin.store.listEntries = prefix => {
+        pages++;
+        if (pages === 2) {
+            standin.store.restoreBackup(backup);
+            standin.store.overwriteEntry("a/1", "new 1");
+        }
+        return list(prefix);
+    };
+    const listing = await client.listSnapshot("a/");
+    t.match(listing, { position: { era: 1, revision: 5 } });
+    t.equal(listing.entries[0]?.value, "new 1");
+    t.equal(listing.entries.length, 4);
+});
