Order positions in the store's history by its era first, between routers too

Cause: routers compared bare revisions. A watch under way could apply an answer of the old history after a peer's list of the new one. What callers would see: requests to endpoints that left in the new history; all routers of a zone read the store until the counter has passed the old revision. Evidence: 'after a restore, one router of a zone goes on reading the store for all' failed before (the second router goes on duty 1.7 s after the restore). The tests of PeerFallback use what is new. A message without an era, of an earlier version, counts as of the first era that the receiver knew. Event 5005 names the ages that decided.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -144,16 +144,13 @@
         getSnapshot: knownVersion => ({
             document: holder.getVersion() > knownVersion ? holder.getIndex()?.document : undefined,
             endpoints: directory.listRecords(),
-            endpointRevision: knowledge.getRevision(),
+            storeEra: knowledge.getPosition().era,
+            endpointRevision: knowledge.getPosition().revision,
             endpointAgeMs: roundAge(knowledge.getAgeMs()),
         }),
         answerDocumentRequest: request => documentServer.answerRequest(request),
         isReadingStore: () => storeSync.isReading(),
-        getStoreUptimeMs: () =>
-            Math.max(
-                knowledge.getUptimeMs(),
-                ...gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS).map(({ platformUpMs }) => platformUpMs),
-            ),
+        getStoreUptimeMs,
         getEndpointAgeMs: () => knowledge.getAgeMs(),
         getDocumentAgeMs: () => documentKnowledge.getAgeMs(),
         getDocumentBehindMs: () => documentKnowledge.getBehindMs(),
@@ -184,6 +181,15 @@
         });
     }
 
+    /** A peer that hasn't heard of a restore doesn't tell how long the restored store has been available. */
+    function getStoreUptimeMs(): number {
+        const { era } = knowledge.getPosition();
+        const peers = gossip
+            .listRecent(MAX_PEER_MESSAGE_AGE_MS)
+            .filter(({ storeEra }) => knowledge.locateRevision(storeEra, 0).era >= era);
+        return Math.max(knowledge.getUptimeMs(), ...peers.map(({ platformUpMs }) => platformUpMs));
+    }
+
     function buildMessage(isToOtherZones: boolean): GossipState {
         return {
             host: settings.host,
@@ -192,7 +198,8 @@
             documentAgeMs: roundAge(documentKnowledge.getAgeMs()),
             platformAgeMs: roundAge(storeSync.getAgeMs()),
             platformUpMs: Math.round(knowledge.getUptimeMs()),
-            endpointRevision: knowledge.getRevision(),
+            storeEra: knowledge.getPosition().era,
+            endpointRevision: knowledge.getPosition().revision,
             endpointAgeMs: roundAge(knowledge.getAgeMs()),
             endpointDigest: directory.getDigest(),
             load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
@@ -216,6 +223,7 @@
         }
         const isKnown = (endpoint: string): boolean => directory.hasRecord(endpoint);
         limiter.mergeLimits(message, isKnown, now);
+        storeSync.recordEra(knowledge.locateRevision(message.storeEra, message.endpointRevision));
         notices.mergeLeaving(message.leaving.filter(([id]) => isKnown(id)));
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
--- a/src/direct/EndpointKnowledge.ts
+++ b/src/direct/EndpointKnowledge.ts
@@ -1,17 +1,29 @@
+import { START_POSITION, type StorePosition, UNKNOWN_ERA, comparePositions } from "../platform/index.js";
 import { readMonotonicMs } from "../utils/time.js";
 
 /** How recent a router's list of endpoints is, whichever router read it from the store. */
 export interface EndpointKnowledge {
     /**
-     * Records that the list is complete up to a revision.
-     * @param revision - Revision of the store.
-     * @param ageMs - Time since the store gave that revision, in milliseconds.
+     * Records that the list is complete up to a position; a position of an earlier era than the known one is ignored.
+     * @param position - Position in the store's history.
+     * @param ageMs - Time since the store gave that position, in milliseconds.
      */
-    recordRevision(revision: number, ageMs: number): void;
+    recordPosition(position: StorePosition, ageMs: number): void;
+    /**
+     * Records an era of the store's history. The list of an earlier era stays in use, but says nothing of the new one, and the
+     * store counts as available since now.
+     * @returns Whether the store was restored, as far as this router knows: an earlier era was known.
+     */
+    recordEra(era: number): boolean;
+    /**
+     * Gets the position that another router names. One that tells no era, as it is of an earlier version, is taken to be in the
+     * first era that this router knew: until a restore, that is right.
+     */
+    locateRevision(era: number, revision: number): StorePosition;
     /** Records that a call of this router to the store has failed. */
     recordFailure(): void;
-    /** Gets the revision of the store up to which the list is complete; 0 if there is none. */
-    getRevision(): number;
+    /** Gets the position in the store's history up to which the list is complete. */
+    getPosition(): StorePosition;
     /** Gets the time since the store confirmed the list, in milliseconds. */
     getAgeMs(): number;
     /**
@@ -26,27 +38,48 @@
 
 /** Creates the knowledge of a router that knows nothing yet. */
 export function createEndpointKnowledge(): EndpointKnowledge {
-    let revision = 0;
+    let position = START_POSITION;
+    let firstEra = UNKNOWN_ERA;
     let confirmedAt = Number.NEGATIVE_INFINITY;
     let upSince: number | undefined;
     return {
-        recordRevision(next, ageMs) {
+        recordPosition(next, ageMs) {
+            recordEra(next.era);
+            if (next.era < position.era) {
+                return;
+            }
             const at = readMonotonicMs() - ageMs;
             if (upSince === undefined || at - confirmedAt >= PLATFORM_SILENCE_MS) {
                 upSince = at;
             }
-            revision = Math.max(revision, next);
+            position = comparePositions(next, position) > 0 ? next : position;
             confirmedAt = Math.max(confirmedAt, at);
         },
+        recordEra,
+        locateRevision: (era, revision) => ({ era: era === UNKNOWN_ERA ? firstEra : era, revision }),
         recordFailure() {
             upSince = undefined;
         },
-        getRevision: () => revision,
+        getPosition: () => position,
         getAgeMs,
         getUptimeMs: () =>
             upSince === undefined || getAgeMs() >= PLATFORM_SILENCE_MS ? 0 : readMonotonicMs() - upSince,
     };
 
+    function recordEra(era: number): boolean {
+        if (era <= position.era) {
+            return false;
+        }
+        const isRestored = position.era !== UNKNOWN_ERA;
+        if (isRestored) {
+            upSince = undefined;
+        } else {
+            firstEra = era;
+        }
+        position = { era, revision: 0 };
+        return isRestored;
+    }
+
     function getAgeMs(): number {
         return readMonotonicMs() - confirmedAt;
     }
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -1,6 +1,7 @@
 import { type ControlClient, createControlClient } from "../control/index.js";
 import { ErrorCode, hasErrorCode } from "../errors/index.js";
 import type { PeerGossip, GossipMessage } from "../peers/index.js";
+import { UNKNOWN_ERA, comparePositions } from "../platform/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
 import { createDocumentFetcher } from "./DocumentFetcher.js";
@@ -84,13 +85,14 @@
         } else {
             options.documentKnowledge.recordHeard(message.version);
         }
-        const areEndpointsNewer = message.endpointRevision > knowledge.getRevision();
+        const position = knowledge.locateRevision(message.storeEra, message.endpointRevision);
+        const progress = comparePositions(position, knowledge.getPosition());
         const areEndpointsEqual = message.endpointDigest === directory.getDigest();
-        if (message.endpointAgeMs >= 0 && areEndpointsEqual && message.endpointRevision >= knowledge.getRevision()) {
-            knowledge.recordRevision(message.endpointRevision, message.endpointAgeMs);
+        if (message.endpointAgeMs >= 0 && areEndpointsEqual && progress >= 0) {
+            knowledge.recordPosition(position, message.endpointAgeMs);
         }
         const address = `${message.address}:${options.controlPort}`;
-        if (areEndpointsNewer && !areEndpointsEqual && canFetchEndpoints(message.zone) && !isFetching) {
+        if (progress > 0 && !areEndpointsEqual && canFetchEndpoints(message.zone) && !isFetching) {
             void fetchSnapshot(address, NO_DOCUMENT_VERSION);
         }
         if (message.version > holder.getVersion() && canFetchDocument(address, message.zone)) {
@@ -208,12 +210,13 @@
             holder.applyDocument(snapshot.document, address);
         }
         // An older snapshot would restore endpoints that have been removed since.
-        const isNewer = snapshot.endpointRevision > knowledge.getRevision();
+        const position = knowledge.locateRevision(snapshot.storeEra ?? UNKNOWN_ERA, snapshot.endpointRevision);
+        const isNewer = comparePositions(position, knowledge.getPosition()) > 0;
         const isNeeded = !options.isReadingStore() || knowledge.getAgeMs() >= PLATFORM_SILENCE_MS;
         const ageMs = snapshot.endpointAgeMs ?? MAX_PEER_PLATFORM_AGE_MS;
         if (isNewer && isNeeded && ageMs >= 0) {
             directory.applyListing(snapshot.endpoints, address);
-            knowledge.recordRevision(snapshot.endpointRevision, ageMs);
+            knowledge.recordPosition(position, ageMs);
         }
     }
 
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -41,6 +41,8 @@
     getAgeMs(): number;
     /** Whether this router reads the service itself. */
     isReading(): boolean;
+    /** Records a position that another router told, which may be the first news of a restore. */
+    recordEra(position: StorePosition): void;
     stop(): Promise<void>;
 }
 
@@ -62,8 +64,6 @@
     let answeredAt = Number.NEGATIVE_INFINITY;
     let documentAnsweredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
-    /** Highest era of the store's history that was read; undefined before the first answer. */
-    let era: number | undefined;
     /** Version of the document that the store holds; undefined before it was read. */
     let storedVersion: number | undefined;
     let isDown = false;
@@ -80,6 +80,7 @@
         ...documentTimes,
         isPaused,
         listener: {
+            onEra: position => recordEra(position, [endpointWatcher]),
             onListing: entries => entries.forEach(applyDocument),
             onChanged: applyDocument,
             onDeleted: () => undefined,
@@ -93,6 +94,7 @@
         ...computeWatchTimes(options.leavingMs),
         isPaused,
         listener: {
+            onEra: position => recordEra(position, [documentWatcher]),
             onListing(entries) {
                 const records = entries.map(decodeEndpoint).filter(record => record !== undefined);
                 directory.applyListing(records);
@@ -114,6 +116,7 @@
     return {
         getAgeMs: readAgeMs,
         isReading: () => isReading,
+        recordEra: position => recordEra(position, [documentWatcher, endpointWatcher]),
         async stop() {
             await Promise.all([dutyLoop.stop(), documentWatcher.stop(), endpointWatcher.stop()]);
         },
@@ -145,7 +148,14 @@
             return;
         }
         isReading = isOnDuty;
-        logger.logEvent(EventId.StoreDutyChanged, { isOnDuty, ageMs: Math.round(readMonotonicMs() - answeredAt) });
+        const { knowledge, documentKnowledge } = options;
+        logger.logEvent(EventId.StoreDutyChanged, {
+            isOnDuty,
+            ageMs: Math.round(readMonotonicMs() - answeredAt),
+            endpointAgeMs: roundAge(knowledge.getAgeMs()),
+            documentAgeMs: roundAge(documentKnowledge.getAgeMs()),
+            behindMs: Math.round(documentKnowledge.getBehindMs()),
+        });
         if (!isOnDuty) {
             isResuming = true;
             // An answer under way may be older than what a peer tells from now on.
@@ -172,15 +182,15 @@
         holder.applyDocument(decoded.value, "platform");
     }
 
-    function recordEra(position: StorePosition): void {
-        if (era !== undefined && position.era > era) {
+    /** Reads a restored store anew: what a call under way will answer may be of the earlier era. */
+    function recordEra(position: StorePosition, watchers: readonly PrefixWatcher[]): void {
+        if (options.knowledge.recordEra(position.era)) {
             logger.logEvent(EventId.PlatformRolledBack, { ...position, active: holder.getVersion() });
+            watchers.forEach(watcher => watcher.restart());
         }
-        era = Math.max(era ?? 0, position.era);
     }
 
-    function confirmDocument(position: StorePosition): void {
-        recordEra(position);
+    function confirmDocument(): void {
         documentAnsweredAt = readMonotonicMs();
         if (!isDocumentRejected && holder.getVersion() > 0) {
             options.documentKnowledge.recordConfirmed(holder.getVersion(), 0);
@@ -206,15 +216,13 @@
     }
 
     function recordAnswer(position: StorePosition): void {
-        const { revision } = position;
-        recordEra(position);
-        endpointRevision = revision;
+        endpointRevision = position.revision;
         if (!isResuming) {
             logLateAnswer(readMonotonicMs() - answeredAt);
         }
         answeredAt = readMonotonicMs();
         isResuming = false;
-        options.knowledge.recordRevision(revision, 0);
+        options.knowledge.recordPosition(position, 0);
         if (isDown) {
             isDown = false;
             // The document watch may be waiting on a connection that was broken by the outage.
--- a/src/direct/directControl.ts
+++ b/src/direct/directControl.ts
@@ -9,6 +9,8 @@
     /** Undefined if the other router's version is not older. */
     document: RoutingDocument | undefined;
     endpoints: EndpointRecord[];
+    /** Era of the store's history that the revision belongs to; undefined from routers of earlier versions. */
+    storeEra: number | undefined;
     /** Revision of the platform's store up to which the endpoints are known. */
     endpointRevision: number;
     /**
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -1,5 +1,6 @@
 import dgram from "node:dgram";
 import { z } from "zod";
+import { UNKNOWN_ERA } from "../platform/index.js";
 import { limitReportSchema, partReportSchema } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
@@ -17,7 +18,9 @@
     platformAgeMs: z.number(),
     /** Time for which the sender has had news of the platform without a silence or a failed call of its own, in milliseconds. */
     platformUpMs: z.number().default(0),
-    /** Revision of the platform's store up to which the sender knows the endpoints. */
+    /** Highest era of the store's history that the sender knows of; routers of earlier versions don't tell it. */
+    storeEra: z.number().int().default(UNKNOWN_ERA),
+    /** Revision of the platform's store, in that era, up to which the sender knows the endpoints. */
     endpointRevision: z.number().int().default(0),
     /** Time since the store confirmed the sender's list of endpoints, in milliseconds; -1 if it never did. */
     endpointAgeMs: z.number().default(-1),
--- a/src/platform/HttpKeyValueService.ts
+++ b/src/platform/HttpKeyValueService.ts
@@ -9,6 +9,7 @@
     type SwapOptions,
     type WatchAnswer,
 } from "./KeyValueService.js";
+import { UNKNOWN_ERA } from "./StorePosition.js";
 
 /** Options of the HTTP client of the key-value service. */
 export interface HttpKeyValueOptions {
@@ -42,8 +43,6 @@
 const STATUS_OK = 200;
 const STATUS_TOO_MANY = 429;
 const MAX_SOCKETS = 16;
-/** The protocol doesn't tell of restores. */
-const UNKNOWN_ERA = 0;
 
 /**
  * Creates a client of the JSON gateway of the etcd v3 API.
--- a/src/platform/StorePosition.ts
+++ b/src/platform/StorePosition.ts
@@ -3,13 +3,16 @@
  * backup are given out again, so that revisions of different eras say nothing of each other.
  */
 export interface StorePosition {
-    /** Number of the era, which rises with each restore; 0 for a service that doesn't tell it. */
+    /** Number of the era, which rises with each restore. */
     era: number;
     revision: number;
 }
 
-/** Position of a listing or a message that was never made. */
-export const START_POSITION: StorePosition = { era: 0, revision: 0 };
+/** Era of a service that doesn't tell it, and of the messages of routers of earlier versions: before all others. */
+export const UNKNOWN_ERA = -1;
+
+/** Position before the first answer of the service. */
+export const START_POSITION: StorePosition = { era: UNKNOWN_ERA, revision: 0 };
 
 /**
  * Compares two positions: by the era first, then by the revision.
--- a/tests/direct/documentStartTests.ts
+++ b/tests/direct/documentStartTests.ts
@@ -44,7 +44,13 @@
     const place = { host: "127.0.0.1", port: system.endpoints[0]?.port ?? 0, zone: "a", slots: 8 };
     const endpoint = { id: "i-0", service: "app", ...place, isLeaving: false, bornAt: 0, group: undefined };
     const control = buildDirectControl({
-        getSnapshot: () => ({ document: undefined, endpoints: [endpoint], endpointRevision: 9, endpointAgeMs: 0 }),
+        getSnapshot: () => ({
+            document: undefined,
+            endpoints: [endpoint],
+            storeEra: undefined,
+            endpointRevision: 9,
+            endpointAgeMs: 0,
+        }),
         answerDocumentRequest: request => documents.answerRequest(request),
     });
     const server = http.createServer();
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -10,6 +10,7 @@
 import { startPeerFallback } from "../../src/direct/PeerFallback.js";
 import { createRouteIndexHolder } from "../../src/direct/RouteIndexHolder.js";
 import { type RouterSnapshot, buildDirectControl } from "../../src/direct/directControl.js";
+import { UNKNOWN_ERA } from "../../src/platform/index.js";
 import type { PeerGossip, GossipMessage } from "../../src/peers/index.js";
 import { createLogger } from "../../src/telemetry/logger.js";
 import { listenOn } from "../../src/utils/http.js";
@@ -18,6 +19,7 @@
 
 const ADDRESS = "127.0.0.1";
 const KEY = "key-of-the-tests";
+const ERA = 3;
 const PLATFORM_AGE_MS = 5_000;
 const SETTLE_MS = 900;
 const PROMPT_MS = 200;
@@ -65,7 +67,7 @@
     const holder = createRouteIndexHolder(() => undefined);
     const knowledge = createEndpointKnowledge();
     if (ownRevision > 0) {
-        knowledge.recordRevision(ownRevision, ownAgeMs);
+        knowledge.recordPosition({ era: ERA, revision: ownRevision }, ownAgeMs);
     }
     const fallback = startPeerFallback({
         processKey: KEY,
@@ -87,18 +89,25 @@
 }
 
 function buildMessage(change: Partial<GossipMessage>): GossipMessage {
-    const message = { address: ADDRESS, zone: "a", version: 0, endpointRevision: 7, endpointAgeMs: 40, ...change };
+    const position = { storeEra: ERA, endpointRevision: 7, endpointAgeMs: 40 };
+    const message = { address: ADDRESS, zone: "a", version: 0, ...position, ...change };
     return message as GossipMessage;
 }
 
 t.test("a router without answers from the platform gets routes and endpoints from a peer", async t => {
     const document = { version: 4, routes: [], services: [], limits: LIMITS, teams: undefined };
-    const peerSnapshot = { document, endpoints: [buildRecord("1")], endpointRevision: 7, endpointAgeMs: 0 };
+    const peerSnapshot = {
+        document,
+        endpoints: [buildRecord("1")],
+        storeEra: ERA,
+        endpointRevision: 7,
+        endpointAgeMs: 0,
+    };
     const { directory, holder, knowledge } = await startDisconnectedRouter(t, peerSnapshot, 0);
     await waitFor(SETTLE_MS);
     t.equal(holder.getVersion(), 4);
     t.equal(directory.listServing("app").length, 1);
-    t.equal(knowledge.getRevision(), 7);
+    t.equal(knowledge.getPosition().revision, 7);
 });
 
 t.test("a router takes the document of a router of an earlier version, which sends it only as a whole", async t => {
@@ -128,6 +137,7 @@
     const peerSnapshot = {
         document: undefined,
         endpoints: [buildRecord("gone")],
+        storeEra: ERA,
         endpointRevision: 7,
         endpointAgeMs: 0,
     };
@@ -141,7 +151,13 @@
 });
 
 t.test("a router that does not read the store takes the list of a peer of its zone as soon as it differs", async t => {
-    const peerSnapshot = { document: undefined, endpoints: [buildRecord("2")], endpointRevision: 7, endpointAgeMs: 40 };
+    const peerSnapshot = {
+        document: undefined,
+        endpoints: [buildRecord("2")],
+        storeEra: ERA,
+        endpointRevision: 7,
+        endpointAgeMs: 40,
+    };
     const { directory, knowledge, fallback } = await startDisconnectedRouter(t, peerSnapshot, 5, 900);
     directory.applyListing([buildRecord("1")]);
     fallback.handleMessage(buildMessage({ zone: "b", endpointDigest: 1 }));
@@ -151,19 +167,19 @@
     fallback.handleMessage(buildMessage({ endpointDigest: 1 }));
     await waitFor(PROMPT_MS);
     t.equal(directory.listServing("app")[0]?.id, "2");
-    t.equal(knowledge.getRevision(), 7);
+    t.equal(knowledge.getPosition().revision, 7);
     t.ok(knowledge.getAgeMs() >= 40, "the age is that of the peer's list");
 });
 
 t.test("a peer with the same list confirms it without a call, and one with an older revision does not", async t => {
-    const peerSnapshot = { document: undefined, endpoints: [], endpointRevision: 9, endpointAgeMs: 0 };
+    const peerSnapshot = { document: undefined, endpoints: [], storeEra: ERA, endpointRevision: 9, endpointAgeMs: 0 };
     const { directory, knowledge, fallback } = await startDisconnectedRouter(t, peerSnapshot, 5, 900);
     directory.applyListing([buildRecord("1")]);
     const endpointDigest = directory.getDigest();
     fallback.handleMessage(buildMessage({ endpointRevision: 4, endpointDigest }));
     t.ok(knowledge.getAgeMs() >= 900);
     fallback.handleMessage(buildMessage({ endpointRevision: 8, endpointDigest }));
-    t.equal(knowledge.getRevision(), 8);
+    t.equal(knowledge.getPosition().revision, 8);
     t.ok(knowledge.getAgeMs() < 900);
     await waitFor(PROMPT_MS);
     t.equal(directory.listServing("app").length, 1);
@@ -175,6 +191,7 @@
         const peerSnapshot = {
             document: undefined,
             endpoints: [buildRecord("2")],
+            storeEra: ERA,
             endpointRevision: 7,
             endpointAgeMs: 6_000,
         };
@@ -192,7 +209,7 @@
             directory.listServing("app").map(({ id }) => id),
             ["2"],
         );
-        t.equal(knowledge.getRevision(), 7);
+        t.equal(knowledge.getPosition().revision, 7);
     },
 );
 
@@ -200,6 +217,7 @@
     const peerSnapshot = {
         document: undefined,
         endpoints: [buildRecord("1")],
+        storeEra: undefined,
         endpointRevision: 7,
         endpointAgeMs: undefined,
     };
@@ -208,3 +226,50 @@
     t.equal(directory.listServing("app").length, 1);
     t.ok(knowledge.getAgeMs() >= 2_000, "it counts as old");
 });
+
+t.test("a list of the history before a restore is not put over one of the restored store", async t => {
+    const peerSnapshot = {
+        document: undefined,
+        endpoints: [buildRecord("gone")],
+        storeEra: ERA,
+        endpointRevision: 900,
+        endpointAgeMs: 0,
+    };
+    const { directory, knowledge, fallback } = await startDisconnectedRouter(t, peerSnapshot, 5, PLATFORM_AGE_MS);
+    directory.applyListing([buildRecord("1")]);
+    knowledge.recordPosition({ era: ERA + 1, revision: 7 }, PLATFORM_AGE_MS);
+    fallback.handleMessage(buildMessage({ endpointRevision: 900, endpointDigest: 1 }));
+    await waitFor(SETTLE_MS);
+    t.strictSame(
+        directory.listServing("app").map(({ id }) => id),
+        ["1"],
+    );
+    t.strictSame(knowledge.getPosition(), { era: ERA + 1, revision: 7 });
+});
+
+t.test("a peer that has read the restored store confirms and sends its list, though its revision is lower", async t => {
+    const peerSnapshot = {
+        document: undefined,
+        endpoints: [buildRecord("2")],
+        storeEra: ERA + 1,
+        endpointRevision: 7,
+        endpointAgeMs: 0,
+    };
+    const { directory, knowledge, fallback } = await startDisconnectedRouter(t, peerSnapshot, 900, 900);
+    directory.applyListing([buildRecord("1")]);
+    const position = { storeEra: ERA + 1, endpointRevision: 5 };
+    fallback.handleMessage(buildMessage({ ...position, endpointDigest: directory.getDigest() }));
+    t.ok(knowledge.getAgeMs() < 900, "the same list");
+    fallback.handleMessage(buildMessage({ ...position, endpointRevision: 7, endpointDigest: 1 }));
+    await waitFor(PROMPT_MS);
+    t.equal(directory.listServing("app")[0]?.id, "2");
+});
+
+t.test("a router of an earlier version, which tells no era, counts as of the time before a restore", t => {
+    const knowledge = createEndpointKnowledge();
+    t.notOk(knowledge.recordEra(ERA), "the first era is no restore");
+    t.strictSame(knowledge.locateRevision(UNKNOWN_ERA, 9), { era: ERA, revision: 9 });
+    t.ok(knowledge.recordEra(ERA + 1));
+    t.strictSame(knowledge.locateRevision(UNKNOWN_ERA, 9), { era: ERA, revision: 9 });
+    t.end();
+});
--- /dev/null
+++ b/tests/direct/restoreTests.ts
@@ -0,0 +1,94 @@
+import t from "tap";
+import { waitFor } from "../../src/utils/time.js";
+import type { KeyValueStore } from "../../standins/platform/KeyValueStore.js";
+import { writeKey } from "../../standins/platform/writeKey.js";
+import type { OwningTest } from "../fixtures.js";
+import { type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
+
+const SECOND_ADDRESS = "127.0.0.2";
+const SETTLE_MS = 300;
+const CALLS = 12;
+
+/** Starts two routers of a zone, the first of which alone reads the store, before endpoints that answer. */
+async function startTwoRouters(
+    t: OwningTest,
+    endpoints: number,
+): Promise<{ first: DirectSystem; second: DirectSystem }> {
+    const first = await startDirectSystem(t, endpoints);
+    first.endpoints.forEach((endpoint, index) =>
+        endpoint.setScript((seen, socket, response) => {
+            const headers = { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" };
+            response.writeHead(200, headers).end(`endpoint ${index}`);
+        }),
+    );
+    const second = await startSecondRouter(t, first, SECOND_ADDRESS, first.store);
+    await waitFor(SETTLE_MS);
+    return { first, second };
+}
+
+async function listAnswering(system: DirectSystem): Promise<string[]> {
+    const answers = await Promise.all(
+        Array.from({ length: CALLS }, (unused, index) =>
+            callRouter(system, { path: "/stock/1", headers: { "attempt-id": `a-${index}` } }),
+        ),
+    );
+    return [...new Set(answers.map(({ status, body }) => (status === 200 ? body : String(status))))].sort();
+}
+
+function listChangesOfDuty(system: DirectSystem): string[] {
+    return system.lines.filter(line => line.includes('"StoreDutyChanged"'));
+}
+
+/** Adds writes that nobody needs, so that the store's revision rises. */
+async function writeOtherKey(store: KeyValueStore, count: number): Promise<void> {
+    for (let written = 0; written < count; written++) {
+        await writeKey(store, "other/key", String(written));
+    }
+}
+
+t.test("routers take endpoints that changed in a restored store, at lower revisions than before", async t => {
+    const { first, second } = await startTwoRouters(t, 3);
+    const { store } = first;
+    const backup = store.takeBackup();
+    await writeOtherKey(store, 50);
+    await first.writeEndpoint(0);
+    await waitFor(first.settings.leavingMs);
+    t.strictSame(await listAnswering(second), ["endpoint 0", "endpoint 1", "endpoint 2"]);
+    store.restoreBackup(backup);
+    await first.writeEndpoint(1, "draining");
+    await waitFor(first.settings.leavingMs);
+    t.strictSame(await listAnswering(first), ["endpoint 0", "endpoint 2"]);
+    t.strictSame(await listAnswering(second), ["endpoint 0", "endpoint 2"]);
+});
+
+t.test("after a restore, one router of a zone goes on reading the store for all", async t => {
+    const { first, second } = await startTwoRouters(t, 2);
+    const { store } = first;
+    const backup = store.takeBackup();
+    await writeOtherKey(store, 50);
+    await first.writeEndpoint(0);
+    await waitFor(first.settings.leavingMs);
+    const before = [first, second].map(listChangesOfDuty);
+    store.restoreBackup(backup);
+    await first.writeEndpoint(0);
+    await waitFor(2 * first.settings.leavingMs);
+    t.strictSame([first, second].map(listChangesOfDuty), before);
+});
+
+t.test("a document that a restored store got while its watch waited is in force in time", async t => {
+    const { first, second } = await startTwoRouters(t, 1);
+    const { store } = first;
+    const backup = store.takeBackup();
+    await writeOtherKey(store, 5);
+    await waitFor(first.settings.applyMs);
+    store.restoreBackup(backup);
+    await first.writeDocument(2, document => {
+        document["tenants"] = [{ name: "one", api_keys: ["key-new"] }];
+    });
+    await waitFor(first.settings.applyMs);
+    for (const system of [first, second]) {
+        t.equal((await callRouter(system, { path: "/stock/1" })).status, 401);
+        const headers = { "x-api-key": "key-new" };
+        t.equal((await callRouter(system, { path: "/stock/1", headers })).status, 200);
+    }
+});
--- a/tests/direct/storeDutyTests.ts
+++ b/tests/direct/storeDutyTests.ts
@@ -108,20 +108,20 @@
         const knowledge = createEndpointKnowledge();
         t.equal(knowledge.getUptimeMs(), 0);
         for (let passed = 0; passed < 4; passed++) {
-            knowledge.recordRevision(passed, 100);
+            knowledge.recordPosition({ era: 1, revision: passed }, 100);
             t.clock.advance(1_300);
         }
         t.equal(knowledge.getUptimeMs(), 5_300);
-        knowledge.recordRevision(9, 0);
+        knowledge.recordPosition({ era: 1, revision: 9 }, 0);
         t.clock.advance(PLATFORM_SILENCE_MS);
         t.equal(knowledge.getUptimeMs(), 0, "silent");
-        knowledge.recordRevision(10, 0);
+        knowledge.recordPosition({ era: 1, revision: 10 }, 0);
         t.clock.advance(200);
         t.equal(knowledge.getUptimeMs(), 200, "counts anew");
         knowledge.recordFailure();
         t.equal(knowledge.getUptimeMs(), 0);
-        knowledge.recordRevision(8, 50);
-        t.strictSame([knowledge.getRevision(), knowledge.getAgeMs()], [10, 50], "the revision never falls");
+        knowledge.recordPosition({ era: 1, revision: 8 }, 50);
+        t.strictSame([knowledge.getPosition().revision, knowledge.getAgeMs()], [10, 50], "the revision never falls");
         t.clock.exit();
         t.end();
     },
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -32,6 +32,7 @@
             documentAgeMs: 0,
             platformAgeMs: 0,
             platformUpMs: 0,
+            storeEra: 0,
             endpointRevision: 0,
             endpointAgeMs: 0,
             endpointDigest: 0,
