A router that starts hears of another one before it serves what the store confirms

Cause: a store that came back from a copy confirms a version that is older than the one in force. A router that started before the operator had written again served it: withdrawn keys and dropped routes, and 404 for added ones, until it heard of the higher version. Evidence: 'a router that starts does not serve the older document of a restored store before it hears of a higher version' fails before (200 in place of 503) and passes now. Beside a peer that is heard at once the fault could not be shown (restoreTests).

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -23,7 +23,8 @@
     isDocumentStale(): boolean;
     /**
      * Returns whether the active document may be served. After the start it may not before the platform has confirmed it, to
-     * this router or to a peer: a peer that is behind may have sent it. When nobody confirms one in time, it may.
+     * this router or to a peer: a peer that is behind may have sent it. Nor may it before another router was heard from, as the
+     * platform may hold an old copy. When nobody confirms one, or is heard from, in time, it may.
      */
     isDocumentUsable(): boolean;
     /**
@@ -86,6 +87,11 @@
 const MAX_DOCUMENT_BEHIND_FRACTION = 0.4;
 /** Fraction of `applyMs` from which an unconfirmed document may lack a route or a key that is in force elsewhere. */
 const STALE_DOCUMENT_FRACTION = 0.75;
+/**
+ * Fraction of `applyMs` for which a router that starts waits to hear from another one before it serves: a store that was restored
+ * from a copy may hold, and confirm, a lower version than the others know.
+ */
+const FIRST_HEARING_FRACTION = 0.25;
 /** Maximum age of a peer's message that is used to judge the platform's state, in milliseconds. */
 const MAX_PEER_MESSAGE_AGE_MS = 1_000;
 
@@ -231,7 +237,9 @@
     }
 
     function isDocumentUsable(): boolean {
-        hasUsableDocument ||= !isDocumentStale() || readMonotonicMs() - startedAt >= settings.applyMs;
+        const upMs = readMonotonicMs() - startedAt;
+        const hasHeard = gossip.hasRecent(MAX_PEER_MESSAGE_AGE_MS) || upMs >= FIRST_HEARING_FRACTION * settings.applyMs;
+        hasUsableDocument ||= (hasHeard && !isDocumentStale()) || upMs >= settings.applyMs;
         return hasUsableDocument;
     }
 
--- a/tests/direct/documentStartTests.ts
+++ b/tests/direct/documentStartTests.ts
@@ -86,7 +86,14 @@
 const NEW_ROUTER_ADDRESS = "127.0.0.9";
 
 /** Starts a router to which the store gives no answer, on the ports of a system. */
-async function startWithoutStore(t: OwningTest, system: DirectSystem): Promise<DirectSystem> {
+function startWithoutStore(t: OwningTest, system: DirectSystem): Promise<DirectSystem> {
+    const fail = (): Promise<never> =>
+        Promise.reject(createError({ code: ErrorCode.PlatformUnavailable, expected: "an answer", got: "silence" }));
+    return startRouter(t, system, { listSnapshot: fail, watchEntries: fail } as unknown as KeyValueService);
+}
+
+/** Starts a router on the ports of a system; it is not ready yet. */
+async function startRouter(t: OwningTest, system: DirectSystem, service: KeyValueService): Promise<DirectSystem> {
     const address = NEW_ROUTER_ADDRESS;
     const move = (place: { port: number }) => ({ address, port: place.port });
     const { listen } = system.settings;
@@ -101,9 +108,6 @@
             metrics: move(listen.metrics),
         },
     };
-    const fail = (): Promise<never> =>
-        Promise.reject(createError({ code: ErrorCode.PlatformUnavailable, expected: "an answer", got: "silence" }));
-    const service = { listSnapshot: fail, watchEntries: fail } as unknown as KeyValueService;
     const lines: string[] = [];
     const logger = createLogger("r9", { writeLine: line => lines.push(line), flush: () => Promise.resolve() });
     const platform = { service, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
@@ -146,3 +150,33 @@
     t.equal((await callRouter(started, { path: "/stock/1" })).status, 200);
     t.equal(await readStatus(started.readinessPort, started.address), 200);
 });
+
+t.test(
+    "a router that starts does not serve the older document of a restored store before it hears of a higher version",
+    async t => {
+        const system = await startDirectSystem(t, 1);
+        system.endpoints[0]?.setScript((seen, socket, response) => {
+            response.writeHead(200, { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" }).end("done");
+        });
+        const started = await startRouter(t, system, system.store);
+        await waitFor(NEWS_MS / 2);
+        t.equal((await callRouter(started, { path: "/stock/1" })).status, 503, "as long as it has heard of nobody");
+        const withdrawn = buildDocument(2);
+        withdrawn["tenants"] = [{ name: "one", api_keys: ["key-new"] }];
+        await startPeer(t, system, "127.0.0.6", withdrawn, 0);
+        await waitFor(PROMPT_MS);
+        t.equal((await callRouter(started, { path: "/stock/1" })).status, 401);
+        const headers = { "x-api-key": "key-new" };
+        t.equal((await callRouter(started, { path: "/stock/1", headers })).status, 200);
+    },
+);
+
+t.test("a router that starts alone serves the document that the store confirms", async t => {
+    const system = await startDirectSystem(t, 1);
+    system.endpoints[0]?.setScript((seen, socket, response) => {
+        response.writeHead(200, { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" }).end("done");
+    });
+    const started = await startRouter(t, system, system.store);
+    await waitFor(system.settings.applyMs / 2);
+    t.equal((await callRouter(started, { path: "/stock/1" })).status, 200);
+});
--- a/tests/direct/restoreTests.ts
+++ b/tests/direct/restoreTests.ts
@@ -136,3 +136,26 @@
     const registered = ["endpoint 0", "endpoint 1"];
     t.strictSame([await listAnswering(first), await listAnswering(second)], [registered, registered]);
 });
+
+t.test("a router that starts serves no older document of a restored store, with its withdrawn keys", async t => {
+    const first = await startDirectSystem(t, 1);
+    first.endpoints[0]?.setScript((seen, socket, response) => {
+        response.writeHead(200, { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" }).end("done");
+    });
+    const backup = first.store.takeBackup();
+    await first.writeDocument(2, document => {
+        document["tenants"] = [{ name: "one", api_keys: ["key-new"] }];
+    });
+    await waitFor(first.settings.applyMs);
+    first.store.restoreBackup(backup);
+    const second = await startSecondRouter(t, first, SECOND_ADDRESS, first.store);
+    for (const system of [second, first]) {
+        t.not((await callRouter(system, { path: "/stock/1" })).status, 200, "the withdrawn key");
+    }
+    await waitFor(first.settings.applyMs);
+    for (const system of [second, first]) {
+        t.equal((await callRouter(system, { path: "/stock/1" })).status, 401);
+        const headers = { "x-api-key": "key-new" };
+        t.equal((await callRouter(system, { path: "/stock/1", headers })).status, 200);
+    }
+});
