Terms of leadership rise over restores, and a lease of an earlier era counts as ended

Cause: a term was the revision of the leader's entry. After a restore a new leader's term was below the old one, so that agents refused all its calls until the counter had passed it, and two leaders could get the same term; identifiers of leases are given out again, so a leader could renew the lease of another process; an entry with the own name was taken for held, whatever lease it hung on; a lease that had ended before the write stayed in use for ever, as the store's 404 was taken for a lost answer. What callers would see: a group whose map stands still, or, with two coordinators of one term, ranks with different maps (MAP).

--- a/src/groups/ordered/LeaderLease.ts
+++ b/src/groups/ordered/LeaderLease.ts
@@ -1,4 +1,5 @@
-import type { KeyValueService } from "../../platform/index.js";
+import { ErrorCode, hasErrorCode } from "../../errors/index.js";
+import { type KeyValueService, type StorePosition, type SwapAnswer, UNKNOWN_ERA } from "../../platform/index.js";
 import { readMonotonicMs } from "../../utils/time.js";
 
 /** Leadership of a group, held through a lease in the platform's store. */
@@ -54,23 +55,49 @@
     async function acquire(): Promise<number | undefined> {
         const startedAt = readMonotonicMs();
         leaseId ??= await service.grantLease(options.ttlMs);
-        const { applied, current } = await service.swapEntry({ key, expectedRevision: 0, value: holder, leaseId });
-        // If the key holds this process's name, an earlier response was lost or the process restarted: the lease is held.
-        const isOwn = current?.value === holder;
-        if (current === undefined || (!applied && !isOwn)) {
+        const answer = await writeHolder(leaseId);
+        if (answer?.applied !== true || answer.current === undefined) {
             leaseId = undefined;
             return undefined;
         }
-        term = current.revision;
+        term = computeTerm({ era: answer.era, revision: answer.current.revision });
         renewedAt = startedAt;
         return term;
     }
 
+    /**
+     * Writes this process's name. If the key holds it already, an earlier response was lost, the process has restarted, or the
+     * entry comes from an old copy of the store: it may be tied to another lease, so it is written anew.
+     * @returns Undefined if the lease has ended.
+     */
+    async function writeHolder(lease: string): Promise<SwapAnswer | undefined> {
+        const swap = { key, expectedRevision: 0, value: holder, leaseId: lease };
+        try {
+            const first = await service.swapEntry(swap);
+            return first.applied || first.current?.value !== holder
+                ? first
+                : await service.swapEntry({ ...swap, expectedRevision: first.current.revision });
+        } catch (error) {
+            if (hasErrorCode(error, ErrorCode.LeaseEnded)) {
+                return undefined;
+            }
+            throw error;
+        }
+    }
+
     function abandon(): void {
         leaseId = undefined;
         term = undefined;
     }
 }
 
+/** Number of revisions that an era may have: 90 years of 3,000 writes a second. Terms are exact for a thousand eras. */
+const REVISIONS_PER_ERA = 2 ** 43;
+
+/** Computes a term, which rises with the era first, as a restored store gives out revisions again. */
+function computeTerm({ era, revision }: StorePosition): number {
+    return (era - UNKNOWN_ERA) * REVISIONS_PER_ERA + revision;
+}
+
 /** Fraction of the lease's time to live after which it is renewed. */
 const RENEWAL_FRACTION = 0.3;
--- a/tests/platform/storeClientTests.ts
+++ b/tests/platform/storeClientTests.ts
@@ -113,3 +113,62 @@
     t.equal(listing.entries[0]?.value, "new 1");
     t.equal(listing.entries.length, 4);
 });
+
+t.test(
+    "a lease of an earlier era counts as ended, though the restored store gives out its identifier again",
+    async t => {
+        const { standin, client } = await startStore(t);
+        const backup = standin.store.takeBackup();
+        const lease = await client.grantLease(60_000);
+        standin.store.restoreBackup(backup);
+        const other = createStoreClient(`127.0.0.1:${standin.port}`);
+        await other.grantLease(60_000);
+        t.equal(await client.renewLease(lease), false);
+        const write = client.swapEntry({ key: "a", expectedRevision: 0, value: "one", leaseId: lease });
+        t.equal(await getCode(write), ErrorCode.LeaseEnded);
+        t.equal(await client.getEntry("a"), undefined, "nothing is written under the lease of another process");
+    },
+);
+
+t.test(
+    "a term of leadership is higher than all before, also after a restore, and no two leaders have the same",
+    async t => {
+        const { standin, client } = await startStore(t);
+        const create = (holder: string) => createLeaderLease({ service: client, key: "office", holder, ttlMs: 60_000 });
+        const [first, second, third] = ["one", "two", "three"].map(create);
+        const backup = standin.store.takeBackup();
+        await client.swapEntry({ key: "x", expectedRevision: 0, value: "a" });
+        const term = (await first?.acquireOrRenew()) ?? 0;
+        standin.store.restoreBackup(backup);
+        const next = (await second?.acquireOrRenew()) ?? 0;
+        t.ok(next > term, `${next} after ${term}`);
+        standin.store.restoreBackup(backup);
+        const last = (await third?.acquireOrRenew()) ?? 0;
+        t.ok(last > next, `${last} after ${next}`);
+    },
+);
+
+t.test("a leader whose entry a restored store has kept holds it by a lease of its own", async t => {
+    const { standin, client } = await startStore(t);
+    const create = (holder: string, ttlMs = 60_000) =>
+        createLeaderLease({ service: client, key: "office", holder, ttlMs });
+    const before = create("one");
+    const term = (await before.acquireOrRenew()) ?? 0;
+    standin.store.restoreBackup(standin.store.takeBackup());
+    const restarted = create("one");
+    const next = (await restarted.acquireOrRenew()) ?? 0;
+    t.ok(next > term);
+    standin.store.endLease("1");
+    t.equal((await client.getEntry("office"))?.value, "one", "the end of the earlier lease doesn't end the leadership");
+    t.equal(await create("two").acquireOrRenew(), undefined);
+});
+
+t.test("a process whose lease ended before its first answer came can still be elected", async t => {
+    const { standin, client } = await startStore(t);
+    const lease = createLeaderLease({ service: client, key: "office", holder: "one", ttlMs: 60_000 });
+    standin.faults.lostAnswers = 1;
+    await t.rejects(lease.acquireOrRenew());
+    standin.store.endLeases();
+    await lease.acquireOrRenew();
+    t.ok(await lease.acquireOrRenew());
+});
