Remember that an endpoint leaves when its entry vanishes and comes back

Cause: what an endpoint said of itself was forgotten with its entry. An entry that vanished around a restore or an outage and came back as ready, with the same start time, was used again, though the endpoint had said in its answers that it leaves (DRAIN). Evidence: 'an endpoint that said that it leaves stays out when its entry vanishes and comes back' fails before and passes now. Change: what endpoints said goes with a new start, or after ten minutes, not with the entry; other routers are told of listed endpoints only.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -210,7 +210,7 @@
             endpointDigest: directory.getDigest(),
             load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
             isZoneLoad: isToOtherZones,
-            leaving: notices.listLeaving(),
+            leaving: notices.listLeaving().filter(([id]) => directory.hasRecord(id)),
             ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
@@ -230,7 +230,10 @@
         const isKnown = (endpoint: string): boolean => directory.hasRecord(endpoint);
         limiter.mergeLimits(message, isKnown, now);
         storeSync.recordEra(knowledge.locateRevision(message.storeEra, message.endpointRevision));
-        notices.mergeLeaving(message.leaving.filter(([id]) => isKnown(id)));
+        notices.mergeLeaving(
+            message.leaving.filter(([id]) => isKnown(id)),
+            now,
+        );
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         fallback.handleMessage(message);
--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -25,14 +25,23 @@
     /** Lists the endpoints that said that they leave, with their start times. */
     listLeaving(): LeavingEndpoint[];
     /** Merges what another router has been told by endpoints. */
-    mergeLeaving(endpoints: readonly LeavingEndpoint[]): void;
+    mergeLeaving(endpoints: readonly LeavingEndpoint[], now: number): void;
+    /** Forgets what an endpoint said before it started again. */
     forget(endpoint: string): void;
 }
 
 /** Identifier and start time of an endpoint that leaves. */
 export type LeavingEndpoint = [id: string, bornAt: number];
 
+interface LeavingMark {
+    bornAt: number;
+    /** Monotonic time, in milliseconds. */
+    toldAt: number;
+}
+
 const STATUS_UNAVAILABLE = 503;
+/** Time for which an endpoint that said that it leaves is remembered, in milliseconds; longer than any takes to leave. */
+const LEAVING_MEMORY_MS = 600_000;
 
 /**
  * Reads what an endpoint says of itself.
@@ -61,8 +70,8 @@
  * @param logger - Receives the first and the last word on a limit, and each leaving or pause.
  */
 export function createEndpointNotices(limiter: SharedRateLimiter, logger: Logger): EndpointNotices {
-    /** Start times of the endpoints that leave, as an endpoint may start again under its identifier. */
-    const leaving = new Map<string, number>();
+    /** Endpoints that leave, with their start times, as an endpoint may start again under its identifier. */
+    const leaving = new Map<string, LeavingMark>();
     /** Monotonic times until which endpoints want no requests, in milliseconds. */
     const pausedUntil = new Map<string, number>();
     return {
@@ -75,13 +84,15 @@
             const paused = endpoints.filter(endpoint => !isLeaving(endpoint) && getPausedUntil(endpoint.id) > now);
             return paused.length === 0 ? undefined : Math.min(...paused.map(({ id }) => getPausedUntil(id))) - now;
         },
-        listLeaving: () => [...leaving],
-        mergeLeaving: endpoints =>
-            endpoints.forEach(([id, bornAt]) => leaving.set(id, Math.max(bornAt, leaving.get(id) ?? bornAt))),
+        listLeaving: () => [...leaving].map(([id, { bornAt }]) => [id, bornAt]),
+        mergeLeaving(endpoints, now) {
+            endpoints
+                .filter(([id, bornAt]) => bornAt > (leaving.get(id)?.bornAt ?? Number.NEGATIVE_INFINITY))
+                .forEach(([id, bornAt]) => leaving.set(id, { bornAt, toldAt: now }));
+        },
         forget(endpoint) {
             leaving.delete(endpoint);
             pausedUntil.delete(endpoint);
-            limiter.forget(endpoint);
         },
     };
 
@@ -92,7 +103,8 @@
         limiter.recordLimit(id, limitPerSecond, now);
         const isNewlyLeaving = notice.isLeaving && !isLeaving(endpoint);
         if (isNewlyLeaving) {
-            leaving.set(id, endpoint.bornAt);
+            forgetOld(now);
+            leaving.set(id, { bornAt: endpoint.bornAt, toldAt: now });
         }
         if (pauseMs !== undefined) {
             pausedUntil.set(id, Math.max(getPausedUntil(id), now + pauseMs));
@@ -104,7 +116,16 @@
     }
 
     function isLeaving({ id, bornAt }: EndpointRecord): boolean {
-        return leaving.get(id) === bornAt;
+        return leaving.get(id)?.bornAt === bornAt;
+    }
+
+    /** Entries of endpoints may vanish and come back, so what they said is not forgotten with the entry. */
+    function forgetOld(now: number): void {
+        for (const [id, { toldAt }] of leaving) {
+            if (now - toldAt > LEAVING_MEMORY_MS) {
+                leaving.delete(id);
+            }
+        }
     }
 
     function getPausedUntil(endpoint: string): number {
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -188,6 +188,9 @@
     function recordChange(change: DirectoryChange, record: EndpointRecord, source: string): void {
         if (change === DirectoryChange.Removed || change === DirectoryChange.Restarted) {
             health.forget(record.id);
+            limiter.forget(record.id);
+        }
+        if (change === DirectoryChange.Restarted) {
             notices.forget(record.id);
         }
         const { id: endpoint, service } = record;
--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -2,6 +2,7 @@
 import { buildList } from "../../src/utils/list.js";
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import type { EndpointScript } from "../../standins/endpoint/endpointStandin.js";
+import { writeKey } from "../../standins/platform/writeKey.js";
 import type { OwningTest } from "../fixtures.js";
 import { type CallerAnswer, type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
 
@@ -154,6 +155,27 @@
     },
 );
 
+t.test("an endpoint that said that it leaves stays out when its entry vanishes and comes back", async t => {
+    const system = await startDirectSystem(t, 2);
+    const [leaving, other] = system.endpoints;
+    let arrivals = 0;
+    leaving?.setScript((...request) => {
+        arrivals++;
+        createScript({ "server-leaving": "1" })(...request);
+    });
+    other?.setScript(createScript({}, SLOW_MS));
+    await sendRequests([system], SETTLE_MS);
+    t.ok(arrivals > 0);
+    await writeKey(system.store, "servers/i-0", undefined);
+    await waitFor(system.settings.lapseGraceMs + SETTLE_MS);
+    await sendRequests([system], CALL_PERIOD_MS);
+    await system.writeEndpoint(0);
+    await waitFor(SETTLE_MS);
+    arrivals = 0;
+    await sendRequests([system], SETTLE_MS);
+    t.equal(arrivals, 0);
+});
+
 t.test("an endpoint that turns requests away for a time gets none from that router meanwhile", async t => {
     const system = await startDirectSystem(t, 2);
     const [busy, other] = system.endpoints;
