--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -107,6 +107,7 @@
             leaving.set(id, { bornAt: endpoint.bornAt, toldAt: now });
         }
         if (pauseMs !== undefined) {
+            forgetPast(now);
             pausedUntil.set(id, Math.max(getPausedUntil(id), now + pauseMs));
         }
         if (hadLimit !== (limitPerSecond !== undefined) || isNewlyLeaving || pauseMs !== undefined) {
@@ -128,6 +129,14 @@
         }
     }
 
+    function forgetPast(now: number): void {
+        for (const [id, until] of pausedUntil) {
+            if (until <= now) {
+                pausedUntil.delete(id);
+            }
+        }
+    }
+
     function getPausedUntil(endpoint: string): number {
         return pausedUntil.get(endpoint) ?? Number.NEGATIVE_INFINITY;
     }
--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -176,6 +176,28 @@
     t.equal(arrivals, 0);
 });
 
+t.test("an endpoint that wants a pause is left alone when its entry vanishes and comes back", async t => {
+    const system = await startDirectSystem(t, 2);
+    const [busy, other] = system.endpoints;
+    let arrivals = 0;
+    busy?.setScript((seen, socket, response) => {
+        arrivals++;
+        const headers = { "attempt-id": seen.headers["attempt-id"], "not-executed": "1", "retry-after": "20" };
+        response.writeHead(503, headers).end("busy");
+    });
+    other?.setScript(createScript({}, SLOW_MS));
+    await sendRequests([system], SETTLE_MS);
+    t.ok(arrivals > 0);
+    await writeKey(system.store, "servers/i-0", undefined);
+    await waitFor(system.settings.lapseGraceMs + SETTLE_MS);
+    await sendRequests([system], CALL_PERIOD_MS);
+    await system.writeEndpoint(0);
+    await waitFor(SETTLE_MS);
+    arrivals = 0;
+    await sendRequests([system], SETTLE_MS);
+    t.equal(arrivals, 0);
+});
+
 t.test("an endpoint that turns requests away for a time gets none from that router meanwhile", async t => {
     const system = await startDirectSystem(t, 2);
     const [busy, other] = system.endpoints;
