Prefer other endpoints to one that turns requests of any router away and names a pause

Cause: each router learned of each pause by itself, and after it all came back at once with all they had. A request was turned away by two endpoints within milliseconds and refused with its route's attempts used up, while sound endpoints had room; each rejection also took from the retry budget. Change: EndpointPauses. A pause goes to the other routers as a weight, not as a ban; after it one request that has another attempt left tries the endpoint, the rest follow when it was taken.

--- a/bench/scheduling/placementSimulation.ts
+++ b/bench/scheduling/placementSimulation.ts
@@ -92,6 +92,7 @@
                 zone: router.zone,
                 load: router.load,
                 health,
+                isDoubtful: () => false,
                 limiter: { getUsedShare: () => 0 },
                 now: queue.getNow(),
                 tried: new Set(),
--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -125,13 +125,16 @@
     context: DirectContext,
     state: RetryState,
 ): EndpointRecord | undefined {
+    const now = readMonotonicMs();
+    const isTrial = state.triedEndpoints.size === 0 && exchange.route.maxAttempts > 1;
     return chooseEndpoint(open, {
         host: context.host,
         zone: context.zone,
         load: context.load,
         health: context.health,
         limiter: context.limiter,
-        now: readMonotonicMs(),
+        isDoubtful: endpoint => context.pauses.isDoubtful(endpoint, isTrial, now),
+        now,
         tried: state.triedEndpoints,
     });
 }
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -101,7 +101,7 @@
  */
 export function startClusterView(options: ClusterViewOptions): ClusterView {
     const { settings, service, codec, holder, context, logger } = options;
-    const { directory, load, suspects, quarantine, limiter, notices } = context;
+    const { directory, load, suspects, quarantine, limiter, notices, pauses } = context;
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
@@ -211,6 +211,7 @@
             load: isToOtherZones ? load.getZoneCounts(readMonotonicMs()) : load.getLocalCounts(),
             isZoneLoad: isToOtherZones,
             leaving: notices.listLeaving().filter(([id]) => directory.hasRecord(id)),
+            pauses: pauses.listPauses(readMonotonicMs()),
             ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
@@ -234,6 +235,10 @@
             message.leaving.filter(([id]) => isKnown(id)),
             now,
         );
+        pauses.mergePauses(
+            message.pauses.filter(([id]) => isKnown(id)),
+            now,
+        );
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         fallback.handleMessage(message);
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -10,6 +10,7 @@
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { EndpointNotices } from "./EndpointNotices.js";
+import type { EndpointPauses } from "./EndpointPauses.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { SharedRetryBudget } from "./SharedRetryBudget.js";
@@ -25,6 +26,8 @@
     health: EndpointHealth;
     /** What endpoints say of themselves in their answers. */
     notices: EndpointNotices;
+    /** Endpoints that turn requests away for a time. */
+    pauses: EndpointPauses;
     limiter: SharedRateLimiter;
     retries: SharedRetryBudget;
     suspects: SuspectTable;
--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -3,6 +3,7 @@
 import type { SharedRateLimiter } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { MS_PER_SECOND } from "../utils/time.js";
+import type { EndpointPauses } from "./EndpointPauses.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
 
@@ -11,6 +12,8 @@
     /** Requests per second that it takes from all routers together; undefined if it names no limit. */
     limitPerSecond: number | undefined;
     isLeaving: boolean;
+    /** Whether it took the request. */
+    hasTaken: boolean;
     /** Time for which it wants no request from this router, in milliseconds; undefined if it doesn't say. */
     pauseMs: number | undefined;
 }
@@ -54,6 +57,7 @@
     return {
         limitPerSecond: readNumber(headers, names.limit),
         isLeaving: getHeader(headers, names.leaving) === "1",
+        hasTaken: status !== STATUS_UNAVAILABLE,
         pauseMs: pauseSeconds === undefined ? undefined : pauseSeconds * MS_PER_SECOND,
     };
 }
@@ -67,22 +71,29 @@
 /**
  * Creates the memory of a router that has had no answer.
  * @param limiter - Holds the limits, which all routers share.
+ * @param pauses - Holds the pauses.
  * @param logger - Receives the first and the last word on a limit, and each leaving or pause.
  */
-export function createEndpointNotices(limiter: SharedRateLimiter, logger: Logger): EndpointNotices {
+export function createEndpointNotices(
+    limiter: SharedRateLimiter,
+    pauses: EndpointPauses,
+    logger: Logger,
+): EndpointNotices {
     /** Endpoints that leave, with their start times, as an endpoint may start again under its identifier. */
     const leaving = new Map<string, LeavingMark>();
-    /** Monotonic times until which endpoints want no requests, in milliseconds. */
-    const pausedUntil = new Map<string, number>();
     return {
         recordNotice,
         listAccepting: (endpoints, now) =>
-            leaving.size === 0 && pausedUntil.size === 0
+            leaving.size === 0 && pauses.isEmpty()
                 ? [...endpoints]
-                : endpoints.filter(endpoint => !isLeaving(endpoint) && getPausedUntil(endpoint.id) <= now),
+                : endpoints.filter(endpoint => !isLeaving(endpoint) && pauses.getPausedUntil(endpoint.id) <= now),
         getPauseMs(endpoints, now) {
-            const paused = endpoints.filter(endpoint => !isLeaving(endpoint) && getPausedUntil(endpoint.id) > now);
-            return paused.length === 0 ? undefined : Math.min(...paused.map(({ id }) => getPausedUntil(id))) - now;
+            const paused = endpoints.filter(
+                endpoint => !isLeaving(endpoint) && pauses.getPausedUntil(endpoint.id) > now,
+            );
+            return paused.length === 0
+                ? undefined
+                : Math.min(...paused.map(({ id }) => pauses.getPausedUntil(id))) - now;
         },
         listLeaving: () => [...leaving].map(([id, { bornAt }]) => [id, bornAt]),
         mergeLeaving(endpoints, now) {
@@ -92,7 +103,7 @@
         },
         forget(endpoint) {
             leaving.delete(endpoint);
-            pausedUntil.delete(endpoint);
+            pauses.forget(endpoint);
         },
     };
 
@@ -107,8 +118,9 @@
             leaving.set(id, { bornAt: endpoint.bornAt, toldAt: now });
         }
         if (pauseMs !== undefined) {
-            forgetPast(now);
-            pausedUntil.set(id, Math.max(getPausedUntil(id), now + pauseMs));
+            pauses.recordPause(id, pauseMs, now);
+        } else if (notice.hasTaken) {
+            pauses.recordTaken(id, now);
         }
         if (hadLimit !== (limitPerSecond !== undefined) || isNewlyLeaving || pauseMs !== undefined) {
             const facts = { limitPerSecond, isLeaving: notice.isLeaving, pauseMs };
@@ -128,16 +140,4 @@
             }
         }
     }
-
-    function forgetPast(now: number): void {
-        for (const [id, until] of pausedUntil) {
-            if (until <= now) {
-                pausedUntil.delete(id);
-            }
-        }
-    }
-
-    function getPausedUntil(endpoint: string): number {
-        return pausedUntil.get(endpoint) ?? Number.NEGATIVE_INFINITY;
-    }
 }
--- a/src/direct/chooseEndpoint.ts
+++ b/src/direct/chooseEndpoint.ts
@@ -12,6 +12,8 @@
     load: LoadTracker;
     health: EndpointHealth;
     limiter: Pick<SharedRateLimiter, "getUsedShare">;
+    /** Tells whether an endpoint is likely to turn the request away. */
+    isDoubtful: (endpoint: string) => boolean;
     /** Monotonic time, in milliseconds. */
     now: number;
     /** Endpoints that this request has already been sent to. */
@@ -22,6 +24,8 @@
 const FAILURE_WEIGHT = 4;
 /** Load, in requests per slot, that an endpoint in another zone counts as: about one request (placement bench). */
 const OTHER_ZONE_WEIGHT = 0.18;
+/** Load, in requests per slot, that an endpoint counts as which is likely to turn the request away. */
+const DOUBT_WEIGHT = 2;
 /** Load, in requests per slot, that an endpoint counts as whose limit is used up. */
 const LIMIT_WEIGHT = 0.5;
 /**
@@ -60,8 +64,14 @@
     const load = (options.load.getLoad(endpoint.id, options.now) + 1) / Math.max(1, endpoint.slots);
     const failures = FAILURE_WEIGHT * options.health.getFailureRate(endpoint.id, options.now);
     const limit = LIMIT_WEIGHT * options.limiter.getUsedShare(endpoint.id, options.now);
+    const doubt = options.isDoubtful(endpoint.id) ? DOUBT_WEIGHT : 0;
     const distance = endpoint.zone === options.zone ? 0 : OTHER_ZONE_WEIGHT;
     return (
-        load + failures + limit + distance + PREFERENCE_WEIGHT * computeHashFraction(`${options.host}/${endpoint.id}`)
+        load +
+        failures +
+        limit +
+        doubt +
+        distance +
+        PREFERENCE_WEIGHT * computeHashFraction(`${options.host}/${endpoint.id}`)
     );
 }
--- a/src/direct/sendToEndpoint.ts
+++ b/src/direct/sendToEndpoint.ts
@@ -30,6 +30,7 @@
     const knownAgeMs = Math.round(context.getEndpointAgeMs());
     context.load.startRequest(endpoint.id);
     context.limiter.recordSend(endpoint.id, sentAt);
+    context.pauses.recordSend(endpoint.id, sentAt);
     state.triedEndpoints.add(endpoint.id);
     let result = "";
     let kind = "";
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -20,6 +20,7 @@
 import type { DirectSettings } from "./DirectSettings.js";
 import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointNotices } from "./EndpointNotices.js";
+import { createEndpointPauses } from "./EndpointPauses.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
@@ -157,7 +158,8 @@
         getShare: () => (knowledge.hearsOthers() ? 1 : 1 / getRouterCount()),
         drawRandom: Math.random,
     });
-    const notices = createEndpointNotices(limiter, logger);
+    const pauses = createEndpointPauses();
+    const notices = createEndpointNotices(limiter, pauses, logger);
     return {
         host: settings.host,
         zone: settings.zone,
@@ -169,6 +171,7 @@
         health,
         limiter,
         notices,
+        pauses,
         retries: createSharedRetryBudget({
             ...settings.retries,
             getRouterCount,
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -38,6 +38,8 @@
     limits: z.record(z.string(), limitReportSchema).default({}),
     /** Endpoints, with their start times, that told the sender or another router that they leave. */
     leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
+    /** Endpoints that turn the sender's requests away, with the rest of the pause that they want, in milliseconds. */
+    pauses: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Attempts per second to find an endpoint of a service with such limits. */
     attempts: z.record(z.string(), z.number()).default({}),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -4,6 +4,7 @@
 import { createSharedRateLimiter } from "../../src/scheduling/index.js";
 import { createLogger } from "../../src/telemetry/logger.js";
 import { createLoadTracker } from "../../src/direct/LoadTracker.js";
+import { createEndpointPauses } from "../../src/direct/EndpointPauses.js";
 import { createEndpointNotices } from "../../src/direct/EndpointNotices.js";
 import { createRequestAdmission } from "../../src/direct/RequestAdmission.js";
 
@@ -31,7 +32,7 @@
     const pace = { recordPause: () => undefined, getAllowedShare: () => allowedPart };
     const limiter = createSharedRateLimiter({ getReportDelayMs: () => 0, getShare: () => 1, drawRandom: () => 0 });
     const logger = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
-    const notices = createEndpointNotices(limiter, logger);
+    const notices = createEndpointNotices(limiter, createEndpointPauses(), logger);
     const admission = createRequestAdmission({ directory, load, pace, limiter, notices });
     return {
         load,
--- a/tests/direct/decisionsTests.ts
+++ b/tests/direct/decisionsTests.ts
@@ -153,6 +153,7 @@
 t.test("the endpoint with the least load over all routers is chosen, failing and unreachable ones last", t => {
     const load = createLoadTracker();
     const health = createEndpointHealth();
+    const doubtful = new Set<string>();
     const choose = (tried: string[] = []): string | undefined =>
         chooseEndpoint(
             ["1", "2", "3"].map(id => buildRecord(id)),
@@ -160,6 +161,7 @@
                 zone: "a",
                 load,
                 health,
+                isDoubtful: (id: string) => doubtful.has(id),
                 limiter: { getUsedShare: () => 0 },
                 now: 1_000,
                 tried: new Set(tried),
@@ -169,6 +171,9 @@
     load.startRequest("1");
     load.setPeerLoad("peer", { 2: 3 }, 900);
     t.equal(choose(), "3");
+    doubtful.add("3");
+    t.equal(choose(), "1", "one that is likely to turn the request away");
+    doubtful.clear();
     health.recordUnreachable("3", 900);
     t.equal(choose(), "1");
     for (let failure = 0; failure < 10; failure++) {
--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -223,3 +223,29 @@
         "and some afterwards",
     );
 });
+
+t.test("requests are served by sound endpoints while others turn requests away and name pauses", async t => {
+    const systems = await startRouters(t, 4);
+    const endpoints = systems[0]?.endpoints ?? [];
+    let rejections = 0;
+    endpoints.slice(0, 2).forEach(endpoint =>
+        endpoint.setScript((seen, socket, response) => {
+            rejections++;
+            const headers = { "attempt-id": seen.headers["attempt-id"], "not-executed": "1", "retry-after": "0.6" };
+            response.writeHead(503, headers).end("busy");
+        }),
+    );
+    endpoints.slice(2).forEach(endpoint => endpoint.setScript(createScript({}, CALL_PERIOD_MS)));
+    const answers = await sendRequests(systems, 2 * WINDOW_MS);
+    const refused = answers.filter(({ status }) => status !== 200);
+    t.equal(refused.length, 0, `${refused.length} of ${answers.length} refused, ${rejections} rejections`);
+    endpoints.slice(0, 2).forEach(endpoint => endpoint.setScript(createScript({}, CALL_PERIOD_MS)));
+    await sendRequests(systems, SETTLE_MS);
+    let arrivals = 0;
+    endpoints[0]?.setScript((...request) => {
+        arrivals++;
+        createScript({}, CALL_PERIOD_MS)(...request);
+    });
+    await sendRequests(systems, SETTLE_MS);
+    t.ok(arrivals > 0, "an endpoint that takes requests again gets its share");
+});
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -33,6 +33,7 @@
             platformAgeMs: 0,
             platformUpMs: 0,
             storeEra: 0,
+            pauses: [],
             endpointRevision: 0,
             endpointAgeMs: 0,
             endpointDigest: 0,
