Soak: the store comes back from a copy, with and without an outage

Restores are drawn apart from the other faults, which stay those of their seed; the operator and the endpoints write again 0.3 s later, and entries of the dead lapse.

--- a/bench/soak/SoakChecker.ts
+++ b/bench/soak/SoakChecker.ts
@@ -152,7 +152,7 @@
 }
 
 function isOfStore(kind: FaultKind): boolean {
-    return kind === FaultKind.StoreDown || kind === FaultKind.StoreHistoryLost;
+    return [FaultKind.StoreDown, FaultKind.StoreHistoryLost, FaultKind.StoreRestored].includes(kind);
 }
 
 function isCalm(faults: readonly PlayedFault[], from: number, until: number): boolean {
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -17,6 +17,8 @@
     /** The store turns all calls away. */
     StoreDown = "store-down",
     StoreHistoryLost = "store-history-lost",
+    /** The store comes back from a copy that is some seconds old, after an outage or without one. */
+    StoreRestored = "store-restored",
     EndpointCrash = "endpoint-crash",
     EndpointCut = "endpoint-cut",
     EndpointSilence = "endpoint-silence",
@@ -49,6 +51,8 @@
     fleet: SoakFleet;
     platform: SoakPlatform;
     random: Random;
+    /** Draws the restores of the store, apart from the other faults, which stay those of their seed. */
+    restoreRandom: Random;
     /** Mean time between two faults, in milliseconds. */
     meanGapMs: number;
 }
@@ -56,6 +60,8 @@
 const LEAST_MS = 300;
 const MEAN_MS = 1_200;
 const MOST_MS = 3_000;
+/** Mean time between two restores of the store, in milliseconds; some follow one another closely. */
+const MEAN_RESTORE_GAP_MS = 5_000;
 const DELAY_MS = 150;
 const SPOILED_PART = 0.3;
 const RESTART_MS = 300;
@@ -70,15 +76,18 @@
  */
 export function startSoakFaults(options: SoakFaultsOptions): SoakFaults {
     const { fleet, platform, random } = options;
-    const kinds = Object.values(FaultKind);
+    const kinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.StoreRestored);
     const played: PlayedFault[] = [];
     const lasting = new Set<Promise<void>>();
     let timer: NodeJS.Timeout | undefined;
+    let restoreTimer: NodeJS.Timeout | undefined;
     planNext();
+    planRestore();
     return {
         played,
         async stop() {
             clearTimeout(timer);
+            clearTimeout(restoreTimer);
             await Promise.all(lasting);
         },
     };
@@ -87,18 +96,29 @@
         timer = setTimeout(() => {
             const kind = kinds[random.drawIndex(kinds.map(() => 1))];
             if (kind !== undefined) {
-                const fault = playFault(kind);
-                lasting.add(fault);
-                void fault.finally(() => lasting.delete(fault));
+                startFault(kind, random);
             }
             planNext();
         }, random.drawExponential(options.meanGapMs));
     }
 
-    async function playFault(kind: FaultKind): Promise<void> {
-        const lastsMs = Math.min(MOST_MS, LEAST_MS + random.drawExponential(MEAN_MS));
-        const router = fleet.routers[random.drawIndex(fleet.routers.map(() => 1))];
-        const endpoint = platform.drawEndpoint(random);
+    function planRestore(): void {
+        restoreTimer = setTimeout(() => {
+            startFault(FaultKind.StoreRestored, options.restoreRandom);
+            planRestore();
+        }, options.restoreRandom.drawExponential(MEAN_RESTORE_GAP_MS));
+    }
+
+    function startFault(kind: FaultKind, drawn: Random): void {
+        const fault = playFault(kind, drawn);
+        lasting.add(fault);
+        void fault.finally(() => lasting.delete(fault));
+    }
+
+    async function playFault(kind: FaultKind, drawn: Random): Promise<void> {
+        const lastsMs = Math.min(MOST_MS, LEAST_MS + drawn.drawExponential(MEAN_MS));
+        const router = fleet.routers[drawn.drawIndex(fleet.routers.map(() => 1))];
+        const endpoint = platform.drawEndpoint(drawn);
         const fault: PlayedFault = {
             kind,
             target: undefined,
@@ -119,6 +139,7 @@
             .with(FaultKind.StoreDelay, () => playDelay(router.storeLink, lastsMs))
             .with(FaultKind.StoreDown, () => playStoreDown(lastsMs))
             .with(FaultKind.StoreHistoryLost, () => playHistoryLost(lastsMs))
+            .with(FaultKind.StoreRestored, () => playRestore(lastsMs))
             .with(FaultKind.EndpointCrash, () => platform.dropEndpoint(endpoint))
             .with(FaultKind.EndpointCut, () => playCut(endpoint.link, lastsMs))
             .with(FaultKind.EndpointSilence, () => Promise.resolve(endpoint.link.silenceOpen()))
@@ -170,6 +191,14 @@
         fleet.store.faults.status = undefined;
     }
 
+    /** The outage is as long as drawn, or too short for a call to fail. */
+    async function playRestore(lastsMs: number): Promise<void> {
+        if (lastsMs > MEAN_MS) {
+            await playStoreDown(lastsMs);
+        }
+        await platform.restoreStore(lastsMs);
+    }
+
     async function playHistoryLost(lastsMs: number): Promise<void> {
         fleet.store.faults.isHistoryLost = true;
         await waitFor(lastsMs);
--- a/bench/soak/SoakPlatform.ts
+++ b/bench/soak/SoakPlatform.ts
@@ -1,5 +1,5 @@
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
-import type { KeyValueStore } from "../../standins/platform/KeyValueStore.js";
+import type { KeyValueStore, StoreBackup } from "../../standins/platform/KeyValueStore.js";
 import { writeKey } from "../../standins/platform/writeKey.js";
 import type { Random } from "../scheduling/Random.js";
 import type { RunRecord } from "./RunRecord.js";
@@ -22,6 +22,8 @@
     dropEndpoint(endpoint: SoakEndpoint): Promise<void>;
     /** Another endpoint comes, and this one announces that it leaves, serves on for a time and goes. */
     replaceEndpoint(endpoint: SoakEndpoint): Promise<void>;
+    /** The store goes back to a copy; soon after, the operator and the endpoints write again what they had written. */
+    restoreStore(ageMs: number): Promise<void>;
     /** Takes the second team's key away for a time. */
     removeKey(lastsMs: number): Promise<void>;
     close(): Promise<void>;
@@ -41,6 +43,12 @@
 /** Time in which a leaving endpoint still serves, in milliseconds: the usual bound of draining and some more. */
 const LEAVING_MS = 3_500;
 const GONE_MS = 1_000;
+/** Period of the copies of the store, and number of them that are kept. */
+const BACKUP_MS = 250;
+const MAX_BACKUPS = 24;
+/** Time after a restore in which the operator and the endpoints write again, and in which dead entries lapse, in milliseconds. */
+const REWRITE_MS = 300;
+const DEAD_ENTRY_MS = 3_000;
 const SLOTS = 20;
 const ZONES = ["a", "b", "c"];
 
@@ -56,11 +64,19 @@
     let count = 0;
     let version = 1;
     let isRevoked = false;
+    let keys: readonly string[] = [];
+    /** States that endpoints have written; one that is gone has none. */
+    const states = new Map<string, string>();
+    const backups: StoreBackup[] = [];
+    const backupTimer = setInterval(() => {
+        backups.push(store.takeBackup());
+        backups.splice(0, Math.max(0, backups.length - MAX_BACKUPS));
+    }, BACKUP_MS);
     await writeDocument([LASTING_KEY, REVOKED_KEY]);
     for (let index = 0; index < options.endpoints; index++) {
         await addEndpoint();
     }
-    return { announcements, drawEndpoint, dropEndpoint, replaceEndpoint, removeKey, close };
+    return { announcements, drawEndpoint, dropEndpoint, replaceEndpoint, restoreStore, removeKey, close };
 
     function drawEndpoint(by: Random): SoakEndpoint | undefined {
         return serving[by.drawIndex(serving.map(() => 1))];
@@ -79,7 +95,7 @@
         }
         await endpoint.close();
         await waitFor(GONE_MS);
-        await writeKey(store, `servers/${endpoint.id}`, undefined);
+        await removeEntry(endpoint.id);
         await addEndpoint();
     }
 
@@ -91,10 +107,33 @@
         await writeEndpoint(endpoint, "draining");
         announcements.push({ kind: "leaving", subject: endpoint.id, at: readMonotonicMs() });
         await waitFor(LEAVING_MS);
-        await writeKey(store, `servers/${endpoint.id}`, undefined);
+        await removeEntry(endpoint.id);
         await endpoint.close();
     }
 
+    async function restoreStore(ageMs: number): Promise<void> {
+        const backup = backups.at(-Math.ceil(ageMs / BACKUP_MS)) ?? backups[0];
+        if (backup === undefined) {
+            return;
+        }
+        store.restoreBackup(backup);
+        backups.length = 0;
+        await waitFor(REWRITE_MS);
+        await writeKey(store, "op/config", JSON.stringify(buildDocument(version, keys)));
+        for (const endpoint of all.filter(({ id }) => states.has(id))) {
+            await writeEndpoint(endpoint, states.get(endpoint.id) ?? "");
+        }
+        setTimeout(() => {
+            const gone = all.filter(({ id }) => !states.has(id));
+            void Promise.all(gone.map(({ id }) => writeKey(store, `servers/${id}`, undefined)));
+        }, DEAD_ENTRY_MS).unref();
+    }
+
+    function removeEntry(id: string): Promise<void> {
+        states.delete(id);
+        return writeKey(store, `servers/${id}`, undefined);
+    }
+
     /** An endpoint goes once only. */
     function takeOut(endpoint: SoakEndpoint): boolean {
         const place = serving.indexOf(endpoint);
@@ -118,18 +157,21 @@
     }
 
     function writeEndpoint(endpoint: SoakEndpoint, state: string): Promise<void> {
+        states.set(endpoint.id, state);
         const address = `127.0.0.1:${endpoint.port}`;
         const zone = ZONES[count % ZONES.length];
         const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1 };
         return writeKey(store, `servers/${endpoint.id}`, JSON.stringify(entry));
     }
 
-    function writeDocument(keys: readonly string[]): Promise<void> {
+    function writeDocument(next: readonly string[]): Promise<void> {
+        keys = next;
         version += 2;
         return writeKey(store, "op/config", JSON.stringify(buildDocument(version, keys)));
     }
 
     async function close(): Promise<void> {
+        clearInterval(backupTimer);
         await Promise.all(all.map(endpoint => endpoint.close()));
     }
 }
--- a/bench/soak/playSoak.ts
+++ b/bench/soak/playSoak.ts
@@ -66,7 +66,13 @@
             keys: [LASTING_KEY, REVOKED_KEY],
         });
         const random = createStream(options.seed, 0);
-        const faults = startSoakFaults({ fleet, platform, random, meanGapMs: options.meanGapMs });
+        const faults = startSoakFaults({
+            fleet,
+            platform,
+            random,
+            restoreRandom: createRandom(mixHash32(options.seed ^ RESTORE_SEED)),
+            meanGapMs: options.meanGapMs,
+        });
         await waitFor(options.faultsMs);
         await faults.stop();
         const calmFrom = readMonotonicMs();
@@ -89,6 +95,8 @@
     }
 }
 
+/** Sets the restores apart from the streams of all seeds. */
+const RESTORE_SEED = 0x5eed;
 const STREAMS = 3;
 
 /** Creates one of the independent streams of random numbers of a seed; close seeds give streams that differ at once. */
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -184,9 +184,13 @@
 
     /** Reads a restored store anew: what a call under way will answer may be of the earlier era. */
     function recordEra(position: StorePosition, watchers: readonly PrefixWatcher[]): void {
+        const { knowledge } = options;
+        if (position.era <= knowledge.getPosition().era) {
+            return;
+        }
         // The directory first: what has been lapsed for too long goes by the time that the store was available before.
         directory.setEra(position.era);
-        if (options.knowledge.recordEra(position.era)) {
+        if (knowledge.recordEra(position.era)) {
             logger.logEvent(EventId.PlatformRolledBack, { ...position, active: holder.getVersion() });
             watchers.forEach(watcher => watcher.restart());
         }
