--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -249,3 +249,45 @@
     await sendRequests(systems, SETTLE_MS);
     t.ok(arrivals > 0, "an endpoint that takes requests again gets its share");
 });
+
+t.test(
+    "while all endpoints of a service pause, a burst is refused at once until the first one ends, and others are served",
+    async t => {
+        const system = await startDirectSystem(t, 3);
+        await system.writeDocument(2, document => {
+            const [stock] = document.routes;
+            document.routes.push({ ...stock, name: "other", path_prefix: "/other/", service: "other" });
+            document["services"] = ["app", "other"].map(name => ({ name, health_path: "/healthz", max_conns: 100 }));
+        });
+        const entry = { service: "other", address: `127.0.0.1:${system.endpoints[2]?.port ?? 0}`, zone: "a", slots: 8 };
+        await writeKey(
+            system.store,
+            "servers/i-2",
+            JSON.stringify({ ...entry, version: "v1", state: "ready", sequence: 1 }),
+        );
+        system.endpoints.slice(0, 2).forEach((endpoint, index) =>
+            endpoint.setScript((seen, socket, response) => {
+                const headers = { "attempt-id": seen.headers["attempt-id"], "not-executed": "1" };
+                response.writeHead(503, { ...headers, "retry-after": String(2 + index) }).end("busy");
+            }),
+        );
+        system.endpoints[2]?.setScript(createScript({}));
+        await waitFor(SETTLE_MS);
+        await callTimed(system, { "attempt-id": "first" });
+        const toldAt = readMonotonicMs();
+        await waitFor(SETTLE_MS / 2);
+        const burst = buildList(100, index => callTimed(system, { "attempt-id": `a-${index}` }));
+        const other = buildList(20, index =>
+            callRouter(system, { path: "/other/1", headers: { "attempt-id": `b-${index}` } }),
+        );
+        const leftSeconds = 2 - (readMonotonicMs() - toldAt) / 1_000;
+        for (const { status, headers, lastedMs } of await Promise.all(burst)) {
+            t.equal(status, 503);
+            const delaySeconds = Number(headers["retry-after"]);
+            // The caller has two seconds left, a third of which it would wait at most.
+            t.ok(delaySeconds > 0 && delaySeconds <= leftSeconds + 0.1, `${delaySeconds} s, ${leftSeconds} s are left`);
+            t.ok(lastedMs < TARGET_MS, `refused after ${Math.round(lastedMs)} ms`);
+        }
+        t.ok((await Promise.all(other)).every(({ status }) => status === 200));
+    },
+);
