--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -193,7 +193,9 @@
             health.forget(record.id);
             limiter.forget(record.id);
         }
-        if (change === DirectoryChange.Restarted) {
+        // Without a start time, an endpoint that comes back can't be told from another one with its identifier.
+        const isOtherNext = change === DirectoryChange.Removed && record.bornAt === 0;
+        if (change === DirectoryChange.Restarted || isOtherNext) {
             notices.forget(record.id);
         }
         const { id: endpoint, service } = record;
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -122,7 +122,16 @@
         return writeKey(
             store,
             `servers/i-${index}`,
-            JSON.stringify({ service: "app", address, zone: "a", version: "v1", slots: 8, state, sequence: 1 }),
+            JSON.stringify({
+                service: "app",
+                address,
+                zone: "a",
+                version: "v1",
+                slots: 8,
+                state,
+                sequence: 1,
+                born: 1,
+            }),
         );
     }
 }
