--- a/tests/direct/noticesFixtures.ts
+++ b/tests/direct/noticesFixtures.ts
@@ -1,6 +1,7 @@
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import { buildList } from "../../src/utils/list.js";
 import type { EndpointScript } from "../../standins/endpoint/endpointStandin.js";
+import { writeKey } from "../../standins/platform/writeKey.js";
 import type { OwningTest } from "../fixtures.js";
 import { type CallerAnswer, type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
 
@@ -67,3 +68,12 @@
     const late = times.filter(at => at >= from);
     return Math.max(0, ...late.map(start => late.filter(at => at >= start && at < start + WINDOW_MS).length));
 }
+
+/** Removes the entry of the first endpoint until it counts as gone, and writes it again. */
+export async function dropEntryForATime(system: DirectSystem): Promise<void> {
+    await writeKey(system.store, "servers/i-0", undefined);
+    await waitFor(system.settings.lapseGraceMs + SETTLE_MS);
+    await sendRequests([system], CALL_PERIOD_MS);
+    await system.writeEndpoint(0);
+    await waitFor(SETTLE_MS);
+}
--- a/tests/direct/noticesTests.ts
+++ b/tests/direct/noticesTests.ts
@@ -1,6 +1,5 @@
 import t from "tap";
-import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
-import { writeKey } from "../../standins/platform/writeKey.js";
+import { readMonotonicMs } from "../../src/utils/time.js";
 import { startDirectSystem } from "./fixtures.js";
 import {
     WINDOW_MS,
@@ -8,7 +7,6 @@
     EXCESS_SHARE,
     EXCESS_REQUESTS,
     LIMIT_PER_SECOND,
-    CALL_PERIOD_MS,
     SETTLE_MS,
     TARGET_MS,
     SLOW_MS,
@@ -16,6 +14,7 @@
     startRouters,
     sendRequests,
     countInWorstWindow,
+    dropEntryForATime,
 } from "./noticesFixtures.js";
 
 t.test("endpoints that name a limit get no more than it allows from all routers together, and no less", async t => {
@@ -114,11 +113,7 @@
     other?.setScript(createScript({}, SLOW_MS));
     await sendRequests([system], SETTLE_MS);
     t.ok(arrivals > 0);
-    await writeKey(system.store, "servers/i-0", undefined);
-    await waitFor(system.settings.lapseGraceMs + SETTLE_MS);
-    await sendRequests([system], CALL_PERIOD_MS);
-    await system.writeEndpoint(0);
-    await waitFor(SETTLE_MS);
+    await dropEntryForATime(system);
     arrivals = 0;
     await sendRequests([system], SETTLE_MS);
     t.equal(arrivals, 0);
--- a/tests/direct/requestPausesTests.ts
+++ b/tests/direct/requestPausesTests.ts
@@ -13,6 +13,7 @@
     startRouters,
     callTimed,
     sendRequests,
+    dropEntryForATime,
 } from "./noticesFixtures.js";
 
 /** Log line of a refused request. */
@@ -35,11 +36,7 @@
     other?.setScript(createScript({}, SLOW_MS));
     await sendRequests([system], SETTLE_MS);
     t.ok(arrivals > 0);
-    await writeKey(system.store, "servers/i-0", undefined);
-    await waitFor(system.settings.lapseGraceMs + SETTLE_MS);
-    await sendRequests([system], CALL_PERIOD_MS);
-    await system.writeEndpoint(0);
-    await waitFor(SETTLE_MS);
+    await dropEntryForATime(system);
     arrivals = 0;
     await sendRequests([system], SETTLE_MS);
     t.equal(arrivals, 0);
