Forget what other routers told of endpoints as more of it comes

Cause: marks of leaving endpoints and pauses that came from other routers were dropped only when this router was told something itself, so that they could pile up. Found in reading. Callers see no difference. Evidence: 'pauses that are over are forgotten as others come' fails without the change.

--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -99,7 +99,7 @@
         mergeLeaving(endpoints, now) {
             endpoints
                 .filter(([id, bornAt]) => bornAt > (leaving.get(id)?.bornAt ?? Number.NEGATIVE_INFINITY))
-                .forEach(([id, bornAt]) => leaving.set(id, { bornAt, toldAt: now }));
+                .forEach(([id, bornAt]) => recordLeaving(id, bornAt, now));
         },
         forget(endpoint) {
             leaving.delete(endpoint);
@@ -114,8 +114,7 @@
         limiter.recordLimit(id, limitPerSecond, now);
         const isNewlyLeaving = notice.isLeaving && !isLeaving(endpoint);
         if (isNewlyLeaving) {
-            forgetOld(now);
-            leaving.set(id, { bornAt: endpoint.bornAt, toldAt: now });
+            recordLeaving(id, endpoint.bornAt, now);
         }
         if (pauseMs !== undefined) {
             pauses.recordPause(id, pauseMs, now);
@@ -132,12 +131,13 @@
         return leaving.get(id)?.bornAt === bornAt;
     }
 
-    /** Entries of endpoints may vanish and come back, so what they said is not forgotten with the entry. */
-    function forgetOld(now: number): void {
+    /** Marks outlast the entries of their endpoints, which may vanish and come back, and go with time. */
+    function recordLeaving(endpoint: string, bornAt: number, now: number): void {
         for (const [id, { toldAt }] of leaving) {
             if (now - toldAt > LEAVING_MEMORY_MS) {
                 leaving.delete(id);
             }
         }
+        leaving.set(endpoint, { bornAt, toldAt: now });
     }
 }
--- a/src/direct/EndpointPauses.ts
+++ b/src/direct/EndpointPauses.ts
@@ -79,6 +79,9 @@
                 .slice(0, MAX_REPORTED)
                 .map(([endpoint, { until }]) => [endpoint, Math.round(until - now)]),
         mergePauses(pauses, now) {
+            if (pauses.length > 0) {
+                forgetPast(now);
+            }
             for (const [endpoint, leftMs] of pauses) {
                 others.set(endpoint, Math.max(others.get(endpoint) ?? 0, now + leftMs));
             }
--- a/tests/direct/EndpointPausesTests.ts
+++ b/tests/direct/EndpointPausesTests.ts
@@ -47,3 +47,13 @@
     t.strictSame(pauses.listPauses(10), [], "what others were told is not told on");
     t.end();
 });
+
+t.test("pauses that are over are forgotten as others come", t => {
+    const pauses = createEndpointPauses();
+    pauses.mergePauses([["e", 100]], 0);
+    pauses.recordPause("f", 100, 0);
+    pauses.mergePauses([["g", 100]], 5_000);
+    pauses.forget("g");
+    t.ok(pauses.isEmpty());
+    t.end();
+});
