--- a/tests/direct/restoreTests.ts
+++ b/tests/direct/restoreTests.ts
@@ -10,7 +10,7 @@
 const CALLS = 24;
 const ANSWER_MS = 50;
 
-/** Starts two routers of a zone, the first of which alone reads the store, before endpoints that answer. */
+/** Starts two routers of a zone, one of which reads the store for both, before endpoints that answer. */
 async function startTwoRouters(
     t: OwningTest,
     endpoints: number,
