--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -89,6 +89,9 @@
 export async function runCase(url, play) {
     const lines = [`trouble: ${HAS_TROUBLE ? "yes" : "no"}`];
     let code = NOT_RUN;
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.once(signal, () => process.exit(NOT_RUN));
+    }
     try {
         code = (await play(line => lines.push(line))) ? BROKEN : HELD;
     } catch (error) {
--- a/review/standins/routers.js
+++ b/review/standins/routers.js
@@ -1,6 +1,6 @@
 // Routers of the deploy file as separate processes on loopback addresses.
 import { spawn } from "node:child_process";
-import { closeSync, mkdtempSync, openSync, readFileSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
 import net from "node:net";
 import { tmpdir } from "node:os";
@@ -56,12 +56,17 @@
         startProcess(router);
         return router;
     });
+    // Whatever ends the script ends its routers too.
+    process.on("exit", () => routers.forEach(router => router.hasEnded || router.process.kill("SIGKILL")));
     return {
         folder,
         routers,
         startProcess,
         waitUntilReady: () => Promise.all(routers.map(waitUntilReady)),
-        close: () => Promise.all(routers.map(endProcess)),
+        async close() {
+            await Promise.all(routers.map(endProcess));
+            rmSync(folder, { recursive: true, force: true });
+        },
     };
 
     function startProcess(router) {
