--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -66,9 +66,9 @@
 
 /**
  * Sends requests at a steady rate, by turns to all routers, and waits for their ends.
- * @param options - Routers, rate, duration, and what builds a request from its number.
+ * @param options - Routers, rate, duration, what builds a request from its number, and the caller.
  */
-export async function sendSteadily({ routers, perSecond, seconds, buildRequest }) {
+export async function sendSteadily({ routers, perSecond, seconds, buildRequest, send = sendRequest }) {
     const startedAt = Date.now();
     const pending = [];
     for (let number = 0; number < perSecond * seconds; number += 1) {
@@ -76,7 +76,7 @@
         if (dueMs > 0) {
             await wait(dueMs);
         }
-        pending.push(sendRequest(routers[number % routers.length], { key: KEY, ...buildRequest(number) }));
+        pending.push(send(routers[number % routers.length], { key: KEY, ...buildRequest(number) }));
     }
     return Promise.all(pending);
 }
