--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,4 +1,4 @@
-// The store cuts the watches that wait, three times in three seconds, around the moment at which the entry of a replica is removed
+// The store cuts the watches that wait, four times in four seconds, around the moment at which the entry of a replica is removed
 // that leaves without a word. One router a zone, so that each of them reads the store.
 import { setTimeout as wait } from "node:timers/promises";
 import { HAS_TROUBLE, describeSeen, runCase, sendSteadily, startDeployment } from "../standins/deployment.js";
@@ -6,8 +6,8 @@
 const DRAIN_MS = 2_000;
 /** Time for which a leaving replica goes on serving after its entry is gone. */
 const SERVES_ON_MS = 4_000;
-const CUTS = 3;
-const CUT_GAP_MS = 1_500;
+const CUTS = 4;
+const CUT_GAP_MS = 1_000;
 const BEFORE_MS = 8_000;
 const SECONDS = 16;
 const routes = [
@@ -38,7 +38,7 @@
         const [leaving] = [...replicas].sort((left, right) => right.runs.length - left.runs.length);
         const cutting = HAS_TROUBLE ? cutWatches() : Promise.resolve([]);
         await wait(50);
-        store.remove(`servers/${leaving.id}`);
+        deployment.removeEntry(leaving);
         const removedAt = Date.now();
         await wait(SERVES_ON_MS);
         leaving.close();
--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -1,5 +1,6 @@
 // A small deployment of the kind that the pages describe: three zones, one router each, one service, and a record.
 import { writeFileSync } from "node:fs";
+import { clearInterval, setInterval } from "node:timers";
 import { setTimeout as wait } from "node:timers/promises";
 import { sendRequest } from "./caller.js";
 import { startReplica } from "./replica.js";
@@ -17,6 +18,8 @@
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
 const HOST = "shop.example";
+/** Period at which replicas write their entries anew. */
+const HEARTBEAT_MS = 1_200;
 const LIMITS = {
     max_header_bytes: 16_384,
     max_body_bytes: 4_194_304,
@@ -48,7 +51,7 @@
         const zone = ZONES[index % ZONES.length];
         const replica = await startReplica({ id, service: SERVICE, zone, ...buildReplicaOptions(index) });
         replicas.push(replica);
-        store.put(`servers/${id}`, replica.buildEntry());
+        startHeartbeats(replica);
     }
     const fleet = await startRouters(zones, store.address);
     await fleet.waitUntilReady();
@@ -56,12 +59,28 @@
         store,
         replicas,
         fleet,
+        /** The entry of a replica is removed; it goes on serving. */
+        removeEntry(replica) {
+            clearInterval(replica.heartbeats);
+            store.remove(`servers/${replica.id}`);
+        },
         async close() {
+            replicas.forEach(replica => clearInterval(replica.heartbeats));
             await fleet.close();
             replicas.forEach(replica => replica.close());
             store.close();
         },
     };
+
+    function startHeartbeats(replica) {
+        let sequence = 0;
+        const beat = () => {
+            sequence += 1;
+            store.put(`servers/${replica.id}`, { ...replica.buildEntry(), sequence });
+        };
+        beat();
+        replica.heartbeats = setInterval(beat, HEARTBEAT_MS);
+    }
 }
 
 /**
