--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -40,9 +40,16 @@
 
 /**
  * Starts the store, the replicas and the routers, and waits until the routers are ready.
- * @param options - Routes, number of replicas and what each replica does otherwise than a sound one; zones of the routers.
+ * @param options - Routes, number of replicas and what each replica does otherwise than a sound one; zones of the routers,
+ * and the number of routers that are started later.
  */
-export async function startDeployment({ routes, replicaCount, buildReplicaOptions = () => ({}), zones = ZONES }) {
+export async function startDeployment({
+    routes,
+    replicaCount,
+    buildReplicaOptions = () => ({}),
+    zones = ZONES,
+    laterRouters = 0,
+}) {
     const store = await startStore();
     store.put("op/config", buildConfiguration(101, routes));
     const replicas = [];
@@ -53,7 +60,7 @@
         replicas.push(replica);
         startHeartbeats(replica);
     }
-    const fleet = await startRouters(zones, store.address);
+    const fleet = await startRouters(zones, store.address, laterRouters);
     await fleet.waitUntilReady();
     return {
         store,
--- a/review/standins/routers.js
+++ b/review/standins/routers.js
@@ -27,8 +27,9 @@
  * Starts one router a zone, with the command and the template of the deploy file.
  * @param zones - Names of the zones, one for each router.
  * @param storeAddress - Address and port of the store.
+ * @param laterCount - Number of routers, the last ones, whose processes are started later.
  */
-export async function startRouters(zones, storeAddress) {
+export async function startRouters(zones, storeAddress, laterCount = 0) {
     const folder = mkdtempSync(join(tmpdir(), "auburnpass-review-"));
     const role = readRole("router");
     const [frontend, readiness, control, news, metrics] = await findFreePorts(5);
@@ -53,16 +54,18 @@
         const file = join(folder, `router-${index + 1}.yaml`);
         writeFileSync(file, fillTemplate(role.template, settings));
         const router = { name: settings.node_name, zone, address, port: frontend, readinessPort: readiness, file };
-        startProcess(router);
+        if (index < zones.length - laterCount) {
+            startProcess(router);
+        }
         return router;
     });
     // Whatever ends the script ends its routers too.
-    process.on("exit", () => routers.forEach(router => router.hasEnded || router.process.kill("SIGKILL")));
+    process.on("exit", () => routers.forEach(router => router.hasEnded || router.process?.kill("SIGKILL")));
     return {
         folder,
         routers,
         startProcess,
-        waitUntilReady: () => Promise.all(routers.map(waitUntilReady)),
+        waitUntilReady: () => Promise.all(routers.filter(router => router.process).map(waitUntilReady)),
         async close() {
             await Promise.all(routers.map(endProcess));
             rmSync(folder, { recursive: true, force: true });
@@ -114,7 +117,7 @@
 }
 
 async function endProcess(router) {
-    if (!router.hasEnded) {
+    if (router.process !== undefined && !router.hasEnded) {
         router.process.kill("SIGCONT");
         router.process.kill("SIGKILL");
         await router.exited;
--- a/review/standins/store.js
+++ b/review/standins/store.js
@@ -7,11 +7,13 @@
 
 /** Starts the store on a loopback address. */
 export async function startStore() {
-    const items = new Map();
-    const history = [];
+    let items = new Map();
+    let history = [];
     const leases = new Map();
     const waiting = new Set();
     let revision = 1;
+    /** Rises by one each time that the store comes back from a copy. */
+    let era = 1;
     let lastLease = 0;
     /** Hook for faults: returns true if it has dealt with the call. */
     const faults = { handleCall: () => false };
@@ -35,6 +37,15 @@
             cut.forEach(watch => watch.cut());
             return cut.length;
         },
+        takeCopy: () => ({ items: new Map(items), history: [...history], revision }),
+        /** Comes back from a copy: what was written since is gone, and revisions are given out again. */
+        restoreCopy(copy) {
+            ({ revision } = copy);
+            items = new Map(copy.items);
+            history = [...copy.history];
+            era += 1;
+            [...waiting].forEach(watch => watch.cut());
+        },
         close() {
             [...waiting].forEach(watch => watch.cut());
             leases.forEach(lease => clearTimeout(lease.timer));
@@ -69,7 +80,7 @@
         response.writeHead(status, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(body),
-            "store-era": "1",
+            "store-era": String(era),
         });
         response.end(body);
     }
@@ -129,6 +140,10 @@
     function answerWatch(response, query) {
         const prefix = query.get("path_prefix") ?? "";
         const after = Number(query.get("after"));
+        if (after > revision) {
+            send(response, 410, {});
+            return;
+        }
         const watch = { check, cut };
         const timer = setTimeout(() => finish([]), Number(query.get("wait_ms")));
         waiting.add(watch);
