--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,73 +1,78 @@
-// The store cuts the watches that wait, four times in four seconds, around the moment at which the entry of a replica is removed
-// that leaves without a word. One router a zone, so that each of them reads the store.
-import { setTimeout as wait } from "node:timers/promises";
-import { HAS_TROUBLE, describeSeen, runCase, sendSteadily, startDeployment } from "../standins/deployment.js";
+// Two of four replicas spoil one in 34 of their streams: by turns the digits of the status are zeros, or a letter of a header's
+// name is a blank.
+import {
+    HAS_TROUBLE,
+    checkTimeouts,
+    describeSeen,
+    runCase,
+    sendSteadily,
+    startDeployment,
+} from "../standins/deployment.js";
 
-const DRAIN_MS = 2_000;
-/** Time for which a leaving replica goes on serving after its entry is gone. */
-const SERVES_ON_MS = 4_000;
-const CUTS = 4;
-const CUT_GAP_MS = 1_000;
-const BEFORE_MS = 8_000;
-const SECONDS = 16;
+const TIMEOUT_MS = 8_000;
+const DEADLINE_MS = 8_022;
+const SPOILED_EVERY = 34;
 const routes = [
-    { name: "swap-book", path_prefix: "/book/", route_kind: "unsafe", timeout_ms: 2_000, max_attempts: 1 },
-    { name: "stock-check", path_prefix: "/stock/", route_kind: "safe", timeout_ms: 2_000, max_attempts: 2 },
+    {
+        name: "fit-advice",
+        path_prefix: "/stream/",
+        route_kind: "streaming",
+        timeout_ms: TIMEOUT_MS,
+        max_attempts: 2,
+        resumable: true,
+        inter_token_ms: 120,
+    },
 ];
 
 await runCase(import.meta.url, async writeLine => {
-    const deployment = await startDeployment({
-        routes,
-        replicaCount: 4,
-        buildReplicaOptions: () => ({ workMs: 86 }),
-    });
-    const { store, replicas, fleet } = deployment;
+    const spoiled = [];
+    const deployment = await startDeployment({ routes, replicaCount: 4, buildReplicaOptions });
     try {
-        const traffic = sendSteadily({
-            routers: fleet.routers,
-            perSecond: 100,
-            seconds: SECONDS,
+        const seen = await sendSteadily({
+            routers: deployment.fleet.routers,
+            perSecond: 240,
+            seconds: 5,
             buildRequest: number => ({
                 attempt: `attempt-${number}`,
-                path: number % 2 === 0 ? `/book/${number}` : `/stock/${number}`,
-                method: number % 2 === 0 ? "POST" : "GET",
-                deadlineMs: 4_012,
+                path: `/stream/${number}`,
+                method: "POST",
+                deadlineMs: DEADLINE_MS,
             }),
         });
-        await wait(BEFORE_MS);
-        const [leaving] = [...replicas].sort((left, right) => right.runs.length - left.runs.length);
-        const cutting = HAS_TROUBLE ? cutWatches() : Promise.resolve([]);
-        await wait(50);
-        deployment.removeEntry(leaving);
-        const removedAt = Date.now();
-        await wait(SERVES_ON_MS);
-        leaving.close();
-        const seen = await traffic;
-        const cuts = await cutting;
-        const after = leaving.runs.filter(({ at }) => at > removedAt);
-        const late = after.filter(({ at }) => at > removedAt + DRAIN_MS);
-        const broken = seen.filter(({ status, path }) => status !== 200 && path.startsWith("/book/"));
+        const { unanswered, late, isBroken } = checkTimeouts(seen, TIMEOUT_MS);
         writeLine(`requests: ${seen.length}, answered with success: ${seen.filter(s => s.status === 200).length}`);
-        writeLine(`cuts, in ms after the removal: ${cuts.map(at => at - removedAt).join(" ") || "none"}`);
-        writeLine(`requests that reached the replica after its removal: ${after.length}`);
-        writeLine(`of these later than ${DRAIN_MS} ms after it: ${late.length}`);
-        writeLine(`bookings without a success: ${broken.length}`);
+        writeLine(`streams spoiled by replicas: ${spoiled.length}`);
+        writeLine(`unanswered at their timeout of ${TIMEOUT_MS} ms: ${unanswered.length}`);
+        writeLine(`of these without an answer 500 ms later: ${late.length}`);
         writeLine("sent and answered:");
         seen.forEach(request => writeLine(describeSeen(request)));
-        writeLine(`run by the leaving replica ${leaving.id}, in ms after the removal:`);
-        leaving.runs.forEach(({ attempt, at }) => writeLine(`  ${attempt} ${at - removedAt}`));
-        return late.length > 0;
+        writeLine("run:");
+        deployment.replicas.flatMap(({ runs }) => runs).forEach(run => writeLine(`  ${JSON.stringify(run)}`));
+        return isBroken;
     } finally {
         await deployment.close();
     }
 
-    async function cutWatches() {
-        const cuts = [];
-        while (cuts.length < CUTS) {
-            store.cutWatches();
-            cuts.push(Date.now());
-            await wait(CUT_GAP_MS);
-        }
-        return cuts;
+    function buildReplicaOptions(index) {
+        let answers = 0;
+        return {
+            answer({ response, attempt }) {
+                answers += 1;
+                if (!HAS_TROUBLE || index >= 2 || answers % SPOILED_EVERY !== 0) {
+                    return false;
+                }
+                spoiled.push(attempt);
+                const event = `id: 1\ndata: ${attempt}\n\n`;
+                const isStatusSpoiled = spoiled.length % 2 === 0;
+                response.socket.end(
+                    `HTTP/1.1 ${isStatusSpoiled ? "000" : "200"} OK\r\n` +
+                        `Attempt-Id: ${attempt}\r\n` +
+                        `Server-Stamp: s.${attempt}\r\n` +
+                        `${isStatusSpoiled ? "Content-Type" : "Conte t-Type"}: text/event-stream\r\n` +
+                        `Content-Length: ${event.length}\r\n\r\n${event}`,
+                );
+                return true;
+            },
+        };
     }
 });
