HTTP calls always settle, also when Node.js emits neither a response nor an error

Cause: each call settled its promise from `response` and `error` alone. For an upgrade that nobody asked for, Node.js destroys the connection and emits only `close`; the request has ended then, so the abort at the deadline emits nothing either.

Change: `openHttpCall` is the one way to make a call. It settles on a response, an upgrade, an error, the end of the connection, the abort and the time-out, and on an exception in what reads the response. The abort rejects the result itself, and does not depend on an event of the request. The calls to endpoints, the small calls (store, ranks, host list), the agent's runs, the router's channels to agents and the watch of the key-value service use it: each had the same gap. After the head, an abort destroys the response and not the request, since the latter drops unread data and lets the response end as if it were complete.

--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -1,6 +1,8 @@
-import http from "node:http";
+import type http from "node:http";
+import { urlToHttpOptions } from "node:url";
 import { type EventField, copyEndToEndHeaders, getHeader } from "../protocol/index.js";
 import { sendHttpCall } from "../utils/http.js";
+import { openHttpCall } from "../utils/openHttpCall.js";
 import { watchReset } from "../utils/watchReset.js";
 import { type AnswerCheck, type AnswerFault, createEventStreamCheck, createFramedCheck } from "./AnswerCheck.js";
 import { AnswerEnd, type KeptAnswer } from "./KeptAnswer.js";
@@ -69,33 +71,33 @@
  */
 export function startEndpointRun(options: EndpointRunOptions): EndpointRun {
     const { request, answer } = options;
-    const outgoing = http.request(new URL(request.path, options.endpointUrl), {
-        method: request.method,
-        headers: { ...request.headers, [REQUEST_ID]: request.attempt, "content-length": request.body.length },
-        agent: options.agent,
-    });
-    let isCancelled = false;
-    const result = new Promise<EndpointRunEnd>(resolve => {
-        outgoing.on("error", error => resolve(createFailure(error)));
-        outgoing.on("response", response => readAnswer(response, resolve));
+    const cancellation = new AbortController();
+    const call = openHttpCall<EndpointRunEnd>({
+        target: {
+            ...urlToHttpOptions(new URL(request.path, options.endpointUrl)),
+            method: request.method,
+            headers: { ...request.headers, [REQUEST_ID]: request.attempt, "content-length": request.body.length },
+            agent: options.agent,
+        },
+        body: request.body,
+        signal: cancellation.signal,
+        readResponse: response => new Promise(resolve => readAnswer(response, resolve)),
     });
-    outgoing.end(request.body);
     return {
-        result: result.then(async end => {
+        result: call.result.catch(createFailure).then(async end => {
             const isEndpointDead =
-                end.result === RunResult.Broken && !isCancelled && (await isEndpointGone(options.endpointUrl));
+                end.result === RunResult.Broken &&
+                !cancellation.signal.aborted &&
+                (await isEndpointGone(options.endpointUrl));
             answer.finish(END_OF_RESULT[end.result]);
             return { ...end, isEndpointDead };
         }),
-        cancel() {
-            isCancelled = true;
-            outgoing.destroy(new Error("cancelled"));
-        },
+        cancel: () => cancellation.abort(),
     };
 
     /** A connection that was refused, or reused and closed before it took the request, carried nothing. */
     function createFailure(error: NodeJS.ErrnoException): EndpointRunEnd {
-        const isNeverSent = !isCancelled && error.code === "ECONNREFUSED";
+        const isNeverSent = !cancellation.signal.aborted && error.code === "ECONNREFUSED";
         return { result: isNeverSent ? RunResult.NeverSent : RunResult.Broken, fault: error.message };
     }
 
@@ -108,7 +110,7 @@
         }
         if (echoed === undefined) {
             // A late second copy could not be told from the answer to the next request on the connection.
-            outgoing.shouldKeepAlive = false;
+            call.request.shouldKeepAlive = false;
         }
         const check = createCheck(response);
         let isReset = false;
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -1,6 +1,7 @@
-import http from "node:http";
+import type http from "node:http";
 import { ErrorCode, hasErrorCode } from "../errors/index.js";
 import { limitAnswerHead } from "../utils/limitAnswerHead.js";
+import { openHttpCall } from "../utils/openHttpCall.js";
 import { watchReset } from "../utils/watchReset.js";
 import { type EndpointNotice, readEndpointNotice } from "./EndpointNotices.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -74,42 +75,26 @@
  * @param names - Names of the headers.
  * @param signal - Aborts the call and closes its connection.
  */
-export function openEndpointCall(
+export async function openEndpointCall(
     request: EndpointRequest,
     names: HeaderNames,
     signal: AbortSignal,
 ): Promise<CallResult> {
-    return new Promise(resolve => {
-        const { endpoint } = request;
-        let isConnected = false;
-        let isTruncated = false;
-        const clientRequest = http.request({
+    const { endpoint } = request;
+    let isConnected = false;
+    let isTruncated = false;
+    const call = openHttpCall<CallResult>({
+        target: {
             host: endpoint.host,
             port: endpoint.port,
             method: request.method,
             path: request.path,
             headers: request.headers,
             agent: false,
-            signal,
-        });
-        const connectTimer = setTimeout(
-            () => clientRequest.destroy(new Error("connection timed out")),
-            CONNECT_TIMEOUT_MS,
-        );
-        clientRequest.on("socket", socket => {
-            socket.setNoDelay(true);
-            limitAnswerHead(clientRequest, socket);
-            socket.once("connect", () => {
-                isConnected = true;
-                clearTimeout(connectTimer);
-            });
-        });
-        clientRequest.on("error", error => {
-            isTruncated = true;
-            clearTimeout(connectTimer);
-            resolve({ failed: describeFailure(error, isConnected, signal.aborted) });
-        });
-        clientRequest.on("response", response => {
+        },
+        body: request.body.length > 0 ? request.body : undefined,
+        signal,
+        readResponse(response) {
             clearTimeout(connectTimer);
             response.on("error", () => undefined);
             watchReset(response, () => (isTruncated = true));
@@ -117,21 +102,38 @@
             if ("failed" in result) {
                 response.destroy();
             }
-            resolve(result);
+            return result;
+        },
+    });
+    const connectTimer = setTimeout(() => call.request.destroy(new Error("connection timed out")), CONNECT_TIMEOUT_MS);
+    call.request.on("socket", socket => {
+        socket.setNoDelay(true);
+        limitAnswerHead(call.request, socket);
+        socket.once("connect", () => {
+            isConnected = true;
+            clearTimeout(connectTimer);
         });
-        clientRequest.end(request.body.length > 0 ? request.body : undefined);
     });
+    call.request.on("error", () => (isTruncated = true));
+    try {
+        return await call.result;
+    } catch (error) {
+        clearTimeout(connectTimer);
+        return { failed: describeFailure(error as NodeJS.ErrnoException, isConnected, signal.aborted) };
+    }
 }
 
-function describeFailure(error: Error, isConnected: boolean, isAborted: boolean): FailedCall {
+function describeFailure(error: NodeJS.ErrnoException, isConnected: boolean, isAborted: boolean): FailedCall {
     if (isAborted) {
         return { kind: CallFailure.Cancelled, mayHaveRun: isConnected, detail: error.message };
     }
     if (!isConnected) {
         return { kind: CallFailure.Unreachable, mayHaveRun: false, detail: error.message };
     }
-    const isParseError = (error as NodeJS.ErrnoException).code?.startsWith("HPE_") === true;
-    const isMalformed = isParseError || hasErrorCode(error, ErrorCode.TooLarge);
+    const isMalformed =
+        error.code?.startsWith("HPE_") === true ||
+        hasErrorCode(error, ErrorCode.TooLarge) ||
+        hasErrorCode(error, ErrorCode.Malformed);
     return {
         kind: isMalformed ? CallFailure.Malformed : CallFailure.ConnectionLost,
         mayHaveRun: true,
--- a/src/errors/ErrorCode.ts
+++ b/src/errors/ErrorCode.ts
@@ -14,4 +14,8 @@
     Refused = "Refused",
     Timeout = "Timeout",
     TooLarge = "TooLarge",
+    /** The other process sent something that the protocol does not allow. */
+    Malformed = "Malformed",
+    /** This process ended the call. */
+    Aborted = "Aborted",
 }
--- a/src/platform/HttpKeyValueService.ts
+++ b/src/platform/HttpKeyValueService.ts
@@ -1,6 +1,8 @@
 import http from "node:http";
+import { urlToHttpOptions } from "node:url";
 import { ErrorCode, createError } from "../errors/index.js";
 import { type HttpAnswer, sendHttpCall } from "../utils/http.js";
+import { openHttpCall } from "../utils/openHttpCall.js";
 import {
     type KeyValueEntry,
     KeyValueService,
@@ -145,52 +147,53 @@
     signal: AbortSignal | undefined;
 }
 
-function readFirstEvents(url: URL, body: string, bounds: WatchBounds): Promise<WatchAnswer> {
+async function readFirstEvents(url: URL, body: string, bounds: WatchBounds): Promise<WatchAnswer> {
+    const end = new AbortController();
+    const endWait = (): void => end.abort();
+    const timer = setTimeout(endWait, bounds.waitMs);
+    bounds.signal?.addEventListener("abort", endWait, { once: true });
+    const call = openHttpCall<WatchAnswer>({
+        target: { ...urlToHttpOptions(url), method: "POST", headers: { "content-type": "application/json" } },
+        body,
+        signal: end.signal,
+        readResponse: readEvents,
+    });
+    try {
+        return await call.result;
+    } catch (error) {
+        if (end.signal.aborted) {
+            return { position: { era: UNKNOWN_ERA, revision: bounds.afterRevision }, changed: [], deleted: [] };
+        }
+        const got = error instanceof Error ? error.message : String(error);
+        const code = ErrorCode.PlatformUnavailable;
+        throw createError({ code, expected: "events of a watch", got, cause: error });
+    } finally {
+        clearTimeout(timer);
+        bounds.signal?.removeEventListener("abort", endWait);
+        call.request.destroy();
+    }
+}
+
+function readEvents(response: http.IncomingMessage): Promise<WatchAnswer> {
     return new Promise((resolve, reject) => {
-        const request = http.request(url, { method: "POST", headers: { "content-type": "application/json" } });
-        const timer = setTimeout(finishEmpty, bounds.waitMs);
-        bounds.signal?.addEventListener("abort", finishEmpty, { once: true });
+        if (response.statusCode !== STATUS_OK) {
+            reject(new Error(`status ${String(response.statusCode)}`));
+            return;
+        }
         let text = "";
-        request.on("error", fail);
-        request.on("response", response => {
-            if (response.statusCode !== STATUS_OK) {
-                fail(new Error(`status ${response.statusCode}`));
-                return;
+        response.setEncoding("utf8");
+        response.on("error", reject);
+        response.on("end", () => reject(new Error("the watch was closed")));
+        response.on("data", (chunk: string) => {
+            text += chunk;
+            const lines = text.split("\n");
+            text = lines.pop() ?? "";
+            const answers = lines.filter(line => line !== "").map(line => JSON.parse(line) as WireWatchAnswer);
+            const withEvents = answers.filter(answer => (answer.result.events ?? []).length > 0);
+            if (withEvents.length > 0) {
+                resolve(readWatchAnswer(withEvents));
             }
-            response.setEncoding("utf8");
-            response.on("error", fail);
-            response.on("end", () => fail(new Error("the watch was closed")));
-            response.on("data", (chunk: string) => {
-                text += chunk;
-                const lines = text.split("\n");
-                text = lines.pop() ?? "";
-                const answers = lines.filter(line => line !== "").map(line => JSON.parse(line) as WireWatchAnswer);
-                const withEvents = answers.filter(answer => (answer.result.events ?? []).length > 0);
-                if (withEvents.length > 0) {
-                    finish(readWatchAnswer(withEvents));
-                }
-            });
         });
-        request.end(body);
-
-        function finishEmpty(): void {
-            const position = { era: UNKNOWN_ERA, revision: bounds.afterRevision };
-            finish({ position, changed: [], deleted: [] });
-        }
-
-        function finish(answer: WatchAnswer): void {
-            clearTimeout(timer);
-            bounds.signal?.removeEventListener("abort", finishEmpty);
-            request.destroy();
-            resolve(answer);
-        }
-
-        function fail(error: Error): void {
-            clearTimeout(timer);
-            request.destroy();
-            const code = ErrorCode.PlatformUnavailable;
-            reject(createError({ code, expected: "events of a watch", got: error.message, cause: error }));
-        }
     });
 }
 
--- a/src/router/attempts/AttemptChannel.ts
+++ b/src/router/attempts/AttemptChannel.ts
@@ -1,10 +1,11 @@
-import http from "node:http";
+import type http from "node:http";
 import { AttemptState } from "../../agent/AttemptLedger.js";
 import { type AnswerHead, AnswerEnd } from "../../agent/KeptAnswer.js";
 import { WorkRank } from "../../config/index.js";
 import type { LoadNews } from "../../membership/index.js";
 import { Cause, HopHeader, Outcome, type Refusal, copyEndToEndHeaders, getHeader } from "../../protocol/index.js";
 import { readWholeBody } from "../../utils/http.js";
+import { openHttpCall } from "../../utils/openHttpCall.js";
 import { readMonotonicMs } from "../../utils/time.js";
 import type { AgentAddress, AgentConnections } from "./AgentConnections.js";
 import type { StallDetector } from "./StallDetector.js";
@@ -85,14 +86,19 @@
 export function openChannel(request: ChannelRequest, options: ChannelOptions): Promise<OpenResult> {
     return new Promise(resolve => {
         const { agent } = request;
-        const outgoing = http.request({
-            host: agent.address,
-            port: agent.port,
-            method: request.method,
-            path: request.path,
-            headers: request.headers,
-            agent: options.agentConnections.getPool(agent),
+        const call = openHttpCall<OpenResult>({
+            target: {
+                host: agent.address,
+                port: agent.port,
+                method: request.method,
+                path: request.path,
+                headers: request.headers,
+                agent: options.agentConnections.getPool(agent),
+            },
+            body: request.body,
+            readResponse: readHead,
         });
+        const outgoing = call.request;
         let isSettled = false;
         let isConnected = false;
         let lastByteAt = readMonotonicMs();
@@ -107,11 +113,7 @@
         outgoing.on("information", () => {
             lastByteAt = readMonotonicMs();
         });
-        outgoing.on("error", error => settle(createErrorResult(error)));
-        outgoing.on("response", response => {
-            readHead(response).then(settle, error => settle(createUnknownResult(String(error))));
-        });
-        outgoing.end(request.body);
+        call.result.then(settle, error => settle(createErrorResult(error as NodeJS.ErrnoException)));
 
         function settle(result: OpenResult): void {
             if (isSettled) {
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,5 +1,7 @@
-import http from "node:http";
+import type http from "node:http";
+import { urlToHttpOptions } from "node:url";
 import { ErrorCode, createError } from "../errors/index.js";
+import { openHttpCall } from "./openHttpCall.js";
 
 /** A whole HTTP answer held in memory. */
 export interface HttpAnswer {
@@ -31,39 +33,15 @@
  * Sends a request and reads the whole answer.
  * @param options - Request and bounds.
  */
-export function sendHttpCall(options: HttpCallOptions): Promise<HttpAnswer> {
-    return new Promise((resolve, reject) => {
-        const request = http.request(options.url, {
-            method: options.method,
-            headers: options.headers,
-            agent: options.agent,
-            signal: options.signal,
-        });
-        const timer = setTimeout(() => request.destroy(createTimeoutError()), options.timeoutMs);
-        request.on("error", finishWithError);
-        request.on("response", response => {
-            response.on("error", finishWithError);
-            readWholeBody(response, options.maxBytes ?? DEFAULT_MAX_BYTES).then(body => {
-                clearTimeout(timer);
-                resolve({ status: response.statusCode ?? 0, headers: response.headers, body });
-            }, finishWithError);
-        });
-        request.end(options.body);
+export async function sendHttpCall(options: HttpCallOptions): Promise<HttpAnswer> {
+    const { method, headers, agent, signal, timeoutMs, body } = options;
+    const target = { ...urlToHttpOptions(new URL(options.url)), method, headers, agent };
+    return openHttpCall({ target, body, signal, timeoutMs, readResponse }).result;
 
-        function finishWithError(error: unknown): void {
-            clearTimeout(timer);
-            request.destroy();
-            reject(error instanceof Error ? error : new Error(String(error)));
-        }
-
-        function createTimeoutError(): Error {
-            return createError({
-                code: ErrorCode.Timeout,
-                expected: `an answer within ${options.timeoutMs} ms`,
-                got: `silence from ${String(options.url)}`,
-            });
-        }
-    });
+    async function readResponse(response: http.IncomingMessage): Promise<HttpAnswer> {
+        const whole = await readWholeBody(response, options.maxBytes ?? DEFAULT_MAX_BYTES);
+        return { status: response.statusCode ?? 0, headers: response.headers, body: whole };
+    }
 }
 
 /**
