Heads that can't be passed on are rejected at the endpoint's edge

Requests that are not streams got a 500 and were not tried again, though they could have been.

Cause: the HTTP parser of Node.js takes statuses from 000 to 099 and names of headers that are empty or have a blank, and `writeHead` refuses both. `validateHead` let them pass, so the relay failed where it wrote the head of the answer.

Change: `findHeadFault` decides once, before any relay sees the head, with the checks that `writeHead` itself makes. Such a response is the endpoint's failure: it counts for its health, safe requests and streams go on to another endpoint, an unsafe request gets a 502 and runs once, and a mark that the request did not run proves nothing in it. The agent checks the heads of its engine, and the router those of agents, in the same way; a run there was recorded as whole before, and its head failed in the agent's server.

--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -1,6 +1,6 @@
 import type http from "node:http";
 import { urlToHttpOptions } from "node:url";
-import { type EventField, copyEndToEndHeaders, getHeader } from "../protocol/index.js";
+import { type EventField, copyEndToEndHeaders, findHeadFault, getHeader } from "../protocol/index.js";
 import { sendHttpCall } from "../utils/http.js";
 import { openHttpCall } from "../utils/openHttpCall.js";
 import { watchReset } from "../utils/watchReset.js";
@@ -102,6 +102,12 @@
     }
 
     function readAnswer(response: http.IncomingMessage, resolve: (end: EndpointRunEnd) => void): void {
+        const headFault = findHeadFault(response);
+        if (headFault !== undefined) {
+            resolve({ result: RunResult.Broken, fault: headFault });
+            response.destroy();
+            return;
+        }
         const echoed = getHeader(response.headers, REQUEST_ID);
         if (echoed !== undefined && echoed !== request.attempt) {
             resolve({ result: RunResult.Broken, fault: "the answer of another request came" });
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -1,5 +1,6 @@
 import type http from "node:http";
 import { ErrorCode, hasErrorCode } from "../errors/index.js";
+import { findHeadFault } from "../protocol/index.js";
 import { limitAnswerHead } from "../utils/limitAnswerHead.js";
 import { openHttpCall } from "../utils/openHttpCall.js";
 import { watchReset } from "../utils/watchReset.js";
@@ -141,13 +142,20 @@
     };
 }
 
-/** Checks that the response belongs to the request, and that a successful one has a signature. */
+/**
+ * Checks that the response can be passed on, that it belongs to the request, and that a successful one has a signature. A
+ * malformed head proves nothing, also not that the request did not run.
+ */
 function validateHead(
     message: http.IncomingMessage,
     request: EndpointRequest,
     names: HeaderNames,
     isTruncated: () => boolean,
 ): CallResult {
+    const fault = findHeadFault(message);
+    if (fault !== undefined) {
+        return createHeadFailure(CallFailure.Malformed, fault);
+    }
     const { headers } = message;
     const status = message.statusCode ?? 0;
     const echoed = headers[names.attempt];
--- a/src/router/attempts/AttemptChannel.ts
+++ b/src/router/attempts/AttemptChannel.ts
@@ -3,7 +3,15 @@
 import { type AnswerHead, AnswerEnd } from "../../agent/KeptAnswer.js";
 import { WorkRank } from "../../config/index.js";
 import type { LoadNews } from "../../membership/index.js";
-import { Cause, HopHeader, Outcome, type Refusal, copyEndToEndHeaders, getHeader } from "../../protocol/index.js";
+import {
+    Cause,
+    HopHeader,
+    Outcome,
+    type Refusal,
+    copyEndToEndHeaders,
+    findHeadFault,
+    getHeader,
+} from "../../protocol/index.js";
 import { readWholeBody } from "../../utils/http.js";
 import { openHttpCall } from "../../utils/openHttpCall.js";
 import { readMonotonicMs } from "../../utils/time.js";
@@ -141,6 +149,10 @@
         }
 
         async function readHead(response: http.IncomingMessage): Promise<OpenResult> {
+            const fault = findHeadFault(response);
+            if (fault !== undefined) {
+                return createUnknownResult(fault);
+            }
             const load = readLoad(response.headers);
             if (load !== undefined) {
                 options.onLoad(load);
--- a/tests/agent/EndpointRunTests.ts
+++ b/tests/agent/EndpointRunTests.ts
@@ -141,29 +141,42 @@
     t.equal(results.filter(({ result }) => result === RunResult.Whole).length, 0);
 });
 
-t.test("a run whose endpoint switches protocols is not left pending", { timeout: 5_000 }, async t => {
-    const server = net.createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () =>
-            socket.write("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n"),
-        );
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const agent = new http.Agent({ keepAlive: true });
-    t.teardown(async () => {
-        agent.destroy();
-        server.close();
-    });
-    const { port } = server.address() as net.AddressInfo;
-    const request = { attempt: "a1", method: "POST", path: "/", headers: {}, body: Buffer.alloc(0) };
-    const run = startEndpointRun({
-        endpointUrl: `http://127.0.0.1:${port}`,
-        agent,
-        request: { ...request, wantedFields: new Set() },
-        answer: createKeptAnswer(),
-        stallMs: STALL_MS,
-        onFirstByte: () => undefined,
+const spoiledAnswers = {
+    "switches protocols": {
+        answer: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n",
+        fault: /upgrade that was not requested/,
+    },
+    "sends a status of zeros": { answer: "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", fault: /the status 0/ },
+    "spoils a header's name": {
+        answer: "HTTP/1.1 200 OK\r\nConte t-Type: text/plain\r\nContent-Length: 2\r\n\r\n{}",
+        fault: /header "Conte t-Type" is malformed/,
+    },
+};
+
+for (const [name, { answer, fault }] of Object.entries(spoiledAnswers)) {
+    t.test(`a run whose endpoint ${name} is not left pending, nor is its head kept`, async t => {
+        const server = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => socket.write(answer));
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const agent = new http.Agent({ keepAlive: true });
+        t.teardown(async () => {
+            agent.destroy();
+            server.close();
+        });
+        const { port } = server.address() as net.AddressInfo;
+        const request = { attempt: "a1", method: "POST", path: "/", headers: {}, body: Buffer.alloc(0) };
+        const kept = createKeptAnswer();
+        const run = startEndpointRun({
+            endpointUrl: `http://127.0.0.1:${port}`,
+            agent,
+            request: { ...request, wantedFields: new Set() },
+            answer: kept,
+            stallMs: STALL_MS,
+            onFirstByte: () => undefined,
+        });
+        t.match(await Promise.race([run.result, waitFor(SLOW_MS)]), { result: RunResult.Broken, fault });
+        t.equal(kept.getHead(), undefined);
     });
-    const end = await Promise.race([run.result, waitFor(SLOW_MS)]);
-    t.match(end, { result: RunResult.Broken, fault: /upgrade that was not requested/ });
-});
+}
