A response with an interim status is not passed on as the final one

Cause: for a 101 without an upgrade Node.js emits `response`, as for a final status, and `validateHead` took any status with the attempt's identifier. The relay of streams takes all below 300 for a stream.

Change: `findHeadFault` wants a final status, from 200 to 599. Other statuses have no meaning between client and server (RFC 9110, 15), so whoever sends one has spoiled its response; what follows is the same as for the other faults of a head.

Three of the tests of spoiledHeadsTests fail on the code before, two of them after waiting 3 s for each of three answers.

--- a/src/protocol/findHeadFault.ts
+++ b/src/protocol/findHeadFault.ts
@@ -1,17 +1,18 @@
 import http from "node:http";
 
-/** Lowest status that can be written as the head of a response. */
-const MIN_STATUS = 100;
+/** Bounds of the statuses that end an exchange; lower ones announce another response, higher ones are not defined. */
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
 
 /**
- * Finds what keeps the head of a response from being passed on. The HTTP parser of Node.js takes statuses and names of headers
- * that `writeHead` refuses, after some of the response may have been processed.
+ * Finds what keeps the head of a response from being passed on as that of the final response. The HTTP parser of Node.js takes
+ * statuses and names of headers that `writeHead` refuses, and reports status 101 like a final one.
  * @param message - Response whose head has arrived.
  * @returns Description of the fault; undefined if there is none.
  */
 export function findHeadFault({ statusCode, rawHeaders }: http.IncomingMessage): string | undefined {
-    if (statusCode === undefined || statusCode < MIN_STATUS) {
-        return `response has the status ${String(statusCode)}`;
+    if (statusCode === undefined || statusCode < MIN_FINAL_STATUS || statusCode > MAX_FINAL_STATUS) {
+        return `response has the status ${String(statusCode)}, which is not a final one`;
     }
     return findHeaderFault(rawHeaders);
 }
--- a/tests/direct/spoiledHeadsTests.ts
+++ b/tests/direct/spoiledHeadsTests.ts
@@ -46,6 +46,12 @@
 const spoiledHeads = {
     "a status of zeros": { status: "000 OK", header: "X-Other: a" },
     "a status below 100": { status: "020 OK", header: "X-Other: a" },
+    "an interim status": { status: "101 OK", header: "X-Other: a" },
+    "an interim status and an upgrade without its connection header": {
+        status: "101 OK",
+        header: "Upgrade: websocket",
+    },
+    "an undefined status": { status: "900 OK", header: "X-Other: a" },
     "a blank in a header's name": { status: "200 OK", header: "Conte t-Type: text/event-stream" },
     "a blank after a header's name": { status: "200 OK", header: "Content-Type : text/event-stream" },
     "a header without a name": { status: "200 OK", header: ": text/event-stream" },
