An exception in an event listener ends the exchange instead of leaving it pending

A deadline did not help: the relay had marked itself as finished before it threw.

Cause: promises that only listeners settle. An exception in a listener goes to `uncaughtException`, which logs it and goes on.

Change: `settleFromEvents` makes such promises; its `guard` turns an exception in a listener into a rejection. It is used where a promise hangs on data from another process: the relays of both routers, the agent's runs, whole bodies, and the watch of the key-value service, whose listener parses JSON. A relay that fails closes its source, so the exchange ends with an answer, or with a cut stream where a head has gone out. The callers' server counts a request as ended also if its account or its refusal throws. The router with agents cuts an answer that has begun when a filter throws (by reading; no test reaches that place).

A body whose connection closed before it was read ends at once, too: `close` without `end` was no end if the parser had seen the whole body.

--- a/src/agent/EndpointRun.ts
+++ b/src/agent/EndpointRun.ts
@@ -3,6 +3,7 @@
 import { type EventField, copyEndToEndHeaders, findHeadFault, getHeader } from "../protocol/index.js";
 import { sendHttpCall } from "../utils/http.js";
 import { openHttpCall } from "../utils/openHttpCall.js";
+import { type Settlement, settleFromEvents } from "../utils/settleFromEvents.js";
 import { watchReset } from "../utils/watchReset.js";
 import { type AnswerCheck, type AnswerFault, createEventStreamCheck, createFramedCheck } from "./AnswerCheck.js";
 import { AnswerEnd, type KeptAnswer } from "./KeptAnswer.js";
@@ -81,7 +82,7 @@
         },
         body: request.body,
         signal: cancellation.signal,
-        readResponse: response => new Promise(resolve => readAnswer(response, resolve)),
+        readResponse: response => settleFromEvents(settlement => readAnswer(response, settlement)),
     });
     return {
         result: call.result.catch(createFailure).then(async end => {
@@ -101,7 +102,7 @@
         return { result: isNeverSent ? RunResult.NeverSent : RunResult.Broken, fault: error.message };
     }
 
-    function readAnswer(response: http.IncomingMessage, resolve: (end: EndpointRunEnd) => void): void {
+    function readAnswer(response: http.IncomingMessage, { resolve, guard }: Settlement<EndpointRunEnd>): void {
         const headFault = findHeadFault(response);
         if (headFault !== undefined) {
             resolve({ result: RunResult.Broken, fault: headFault });
@@ -124,25 +125,31 @@
         const stallTimer = setTimeout(() => failRun("the answer made no progress"), options.stallMs);
         options.onFirstByte();
         answer.setHead({ status: response.statusCode ?? 0, headers: copyEndToEndHeaders(response.headers) });
-        response.on("data", (chunk: Buffer) => {
-            const part = check.checkChunk(chunk);
-            if (part.hasProgressed) {
-                stallTimer.refresh();
-            }
-            if (part.passed.length > 0) {
-                answer.addChunk(part.passed);
-            }
-            if (part.fault !== undefined) {
-                failRun(part.fault.detail, part.fault);
-            }
-        });
+        response.on(
+            "data",
+            guard((chunk: Buffer) => {
+                const part = check.checkChunk(chunk);
+                if (part.hasProgressed) {
+                    stallTimer.refresh();
+                }
+                if (part.passed.length > 0) {
+                    answer.addChunk(part.passed);
+                }
+                if (part.fault !== undefined) {
+                    failRun(part.fault.detail, part.fault);
+                }
+            }),
+        );
         response.on("error", error => failRun(error.message));
-        response.on("close", () => {
-            clearTimeout(stallTimer);
-            const isWhole = response.complete && !isReset;
-            const fault = isWhole ? check.checkEnd()?.detail : "the connection closed in the middle";
-            resolve(fault === undefined ? { result: RunResult.Whole } : { result: RunResult.Broken, fault });
-        });
+        response.on(
+            "close",
+            guard(() => {
+                clearTimeout(stallTimer);
+                const isWhole = response.complete && !isReset;
+                const fault = isWhole ? check.checkEnd()?.detail : "the connection closed in the middle";
+                resolve(fault === undefined ? { result: RunResult.Whole } : { result: RunResult.Broken, fault });
+            }),
+        );
 
         function failRun(fault: string, checked?: AnswerFault): void {
             clearTimeout(stallTimer);
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -28,7 +28,7 @@
     getIndex: () => RouteIndex | undefined;
     /** Called once for each exchange that has ended. */
     onSettled: (settled: SettledDirectExchange) => void;
-    /** Called when a filter throws; the caller gets a 500, or a broken connection if the answer has begun. */
+    /** Called on an unexpected error; the caller gets a 500, or a broken connection if the answer has begun. */
     onError: (error: unknown, exchange: DirectExchange) => void;
 }
 
@@ -129,9 +129,21 @@
         activeRequests++;
         const exchange = openExchange(request, response, index);
         exchange.requestsAhead = requestsAhead;
-        const refusal = await runFilters(exchange);
-        exchange.clearDeadline();
-        await settleExchange(exchange, refusal);
+        try {
+            const refusal = await runFilters(exchange);
+            exchange.clearDeadline();
+            await settleExchange(exchange, refusal);
+        } catch (error) {
+            options.onError(error, exchange);
+            if (!response.writableEnded) {
+                response.destroy();
+            }
+        } finally {
+            endRequest();
+        }
+    }
+
+    function endRequest(): void {
         activeRequests--;
         if (activeRequests === 0) {
             idleWaiters.forEach(finish => finish());
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -1,5 +1,6 @@
 import type http from "node:http";
 import { copyEndToEndHeaders } from "../../protocol/index.js";
+import { settleFromEvents } from "../../utils/settleFromEvents.js";
 import { readMonotonicMs } from "../../utils/time.js";
 import type { DirectExchange } from "../DirectExchange.js";
 import type { EndpointResponse } from "../EndpointCall.js";
@@ -55,20 +56,36 @@
         }
     })();
 
-    function relayEvents(endpointResponse: EndpointResponse): Promise<RelayResult> {
+    async function relayEvents(endpointResponse: EndpointResponse): Promise<RelayResult> {
+        const { message: upstream } = endpointResponse;
+        const resume = (): void => void upstream.resume();
+        response.on("drain", resume);
+        try {
+            return await forwardEvents(endpointResponse);
+        } catch (error) {
+            upstream.destroy();
+            throw error;
+        } finally {
+            response.removeListener("drain", resume);
+        }
+    }
+
+    function forwardEvents(endpointResponse: EndpointResponse): Promise<RelayResult> {
         const { message: upstream, status } = endpointResponse;
-        return new Promise(resolve => {
+        return settleFromEvents(({ resolve, guard }) => {
             const splitter = createEventSplitter();
-            const resume = (): void => void upstream.resume();
             let isFinished = false;
             let hasEvents = false;
-            upstream.on("data", (chunk: Buffer) => relayChunk(chunk));
-            upstream.on("end", () =>
-                finish(upstream.complete && !endpointResponse.isTruncated() && !splitter.isInsideEvent()),
+            upstream.on("data", guard(relayChunk));
+            upstream.on(
+                "end",
+                guard(() => finish(upstream.complete && !endpointResponse.isTruncated() && !splitter.isInsideEvent())),
             );
             upstream.on("close", () => finish(false));
             response.on("close", () => finish(false));
-            response.on("drain", resume);
+            if (upstream.closed) {
+                finish(false);
+            }
 
             function relayChunk(chunk: Buffer): void {
                 const events = splitter.addChunk(chunk);
@@ -96,7 +113,6 @@
                     return;
                 }
                 isFinished = true;
-                response.removeListener("drain", resume);
                 if (!isComplete) {
                     upstream.destroy();
                     resolve(RelayResult.Incomplete);
--- a/src/platform/HttpKeyValueService.ts
+++ b/src/platform/HttpKeyValueService.ts
@@ -3,6 +3,7 @@
 import { ErrorCode, createError } from "../errors/index.js";
 import { type HttpAnswer, sendHttpCall } from "../utils/http.js";
 import { openHttpCall } from "../utils/openHttpCall.js";
+import { settleFromEvents } from "../utils/settleFromEvents.js";
 import {
     type KeyValueEntry,
     KeyValueService,
@@ -175,7 +176,7 @@
 }
 
 function readEvents(response: http.IncomingMessage): Promise<WatchAnswer> {
-    return new Promise((resolve, reject) => {
+    return settleFromEvents(({ resolve, reject, guard }) => {
         if (response.statusCode !== STATUS_OK) {
             reject(new Error(`status ${String(response.statusCode)}`));
             return;
@@ -184,16 +185,19 @@
         response.setEncoding("utf8");
         response.on("error", reject);
         response.on("end", () => reject(new Error("the watch was closed")));
-        response.on("data", (chunk: string) => {
-            text += chunk;
-            const lines = text.split("\n");
-            text = lines.pop() ?? "";
-            const answers = lines.filter(line => line !== "").map(line => JSON.parse(line) as WireWatchAnswer);
-            const withEvents = answers.filter(answer => (answer.result.events ?? []).length > 0);
-            if (withEvents.length > 0) {
-                resolve(readWatchAnswer(withEvents));
-            }
-        });
+        response.on(
+            "data",
+            guard((chunk: string) => {
+                text += chunk;
+                const lines = text.split("\n");
+                text = lines.pop() ?? "";
+                const answers = lines.filter(line => line !== "").map(line => JSON.parse(line) as WireWatchAnswer);
+                const withEvents = answers.filter(answer => (answer.result.events ?? []).length > 0);
+                if (withEvents.length > 0) {
+                    resolve(readWatchAnswer(withEvents));
+                }
+            }),
+        );
     });
 }
 
--- a/src/router/RouterServer.ts
+++ b/src/router/RouterServer.ts
@@ -147,6 +147,9 @@
             return await runPipeline(filters, exchange);
         } catch (error) {
             context.logger.logFailure(EventId.RequestFailed, error, { trace: exchange.traceId });
+            if (exchange.response.headersSent) {
+                exchange.response.destroy();
+            }
             return createInternalErrorRefusal(exchange);
         }
     }
--- a/src/router/attempts/relayAnswer.ts
+++ b/src/router/attempts/relayAnswer.ts
@@ -1,3 +1,4 @@
+import { settleFromEvents } from "../../utils/settleFromEvents.js";
 import type { AnswerSink } from "./AnswerSink.js";
 import { type AttemptChannel, ChannelEnd } from "./AttemptChannel.js";
 
@@ -8,8 +9,17 @@
  * @param signal - Cancels the transfer when the caller disconnects.
  * @returns True if the complete answer was relayed.
  */
-export function relayAnswer(channel: AttemptChannel, sink: AnswerSink, signal: AbortSignal): Promise<boolean> {
-    return new Promise(resolve => {
+export async function relayAnswer(channel: AttemptChannel, sink: AnswerSink, signal: AbortSignal): Promise<boolean> {
+    try {
+        return await relayChannel(channel, sink, signal);
+    } catch (error) {
+        channel.cancel();
+        throw error;
+    }
+}
+
+function relayChannel(channel: AttemptChannel, sink: AnswerSink, signal: AbortSignal): Promise<boolean> {
+    return settleFromEvents(({ resolve, guard }) => {
         signal.addEventListener("abort", cancel, { once: true });
         if (signal.aborted) {
             cancel();
@@ -17,16 +27,23 @@
         }
         sink.writeHead(channel.head);
         sink.onDrain(() => channel.resume());
+        let isAccepting = true;
+        const writeChunk = guard((chunk: Buffer) => {
+            isAccepting = sink.writeChunk(chunk);
+        });
         channel.readInto({
-            onChunk: chunk => sink.writeChunk(chunk),
-            onEnd(end) {
+            onChunk(chunk) {
+                writeChunk(chunk);
+                return isAccepting;
+            },
+            onEnd: guard((end: ChannelEnd) => {
                 signal.removeEventListener("abort", cancel);
                 const isComplete = end === ChannelEnd.Complete;
                 if (isComplete) {
                     sink.finish();
                 }
                 resolve(isComplete);
-            },
+            }),
         });
 
         function cancel(): void {
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -2,6 +2,7 @@
 import { urlToHttpOptions } from "node:url";
 import { ErrorCode, createError } from "../errors/index.js";
 import { openHttpCall } from "./openHttpCall.js";
+import { settleFromEvents } from "./settleFromEvents.js";
 
 /** A whole HTTP answer held in memory. */
 export interface HttpAnswer {
@@ -55,12 +56,20 @@
     maxBytes: number,
     maxChunks = Number.POSITIVE_INFINITY,
 ): Promise<Buffer> {
-    return new Promise((resolve, reject) => {
+    return settleFromEvents(({ resolve, reject, guard }) => {
         // Small chunks are copied together: each would keep the whole buffer alive that it was read into.
         let body = Buffer.alloc(FIRST_BODY_BYTES);
         let size = 0;
         let chunks = 0;
-        stream.on("data", (chunk: Buffer) => {
+        stream.on("data", guard(addChunk));
+        stream.on("end", () => resolve(body.subarray(0, size)));
+        stream.on("error", reject);
+        stream.on("close", rejectUnlessEnded);
+        if (stream.closed) {
+            rejectUnlessEnded();
+        }
+
+        function addChunk(chunk: Buffer): void {
             chunks++;
             if (size + chunk.length > maxBytes || chunks > maxChunks) {
                 stream.removeAllListeners("data");
@@ -78,16 +87,15 @@
             }
             chunk.copy(body, size);
             size += chunk.length;
-        });
-        stream.on("end", () => resolve(body.subarray(0, size)));
-        stream.on("error", reject);
-        stream.on("close", () => {
-            if (!stream.complete) {
+        }
+
+        function rejectUnlessEnded(): void {
+            if (!stream.readableEnded) {
                 reject(
                     createError({ code: ErrorCode.Unreachable, expected: "a whole body", got: "a closed connection" }),
                 );
             }
-        });
+        }
     });
 }
 
--- a/src/utils/openHttpCall.ts
+++ b/src/utils/openHttpCall.ts
@@ -76,7 +76,7 @@
             (response ?? request).destroy();
         }
 
-        /** Destroying the request would drop the unread data of a response, which would then end like a complete one. */
+        /** Destroying the request would drop the unread data of a response that has arrived completely. */
         function abort(): void {
             settle(() => reject(createAbortError()));
             if (response === undefined) {
--- a/tests/platform/httpKeyValueServiceTests.ts
+++ b/tests/platform/httpKeyValueServiceTests.ts
@@ -43,3 +43,12 @@
     t.match(await service.watchEntries("a/", 7, WATCH_MS, abort.signal), empty);
     t.ok(readMonotonicMs() - startedAt < MAX_NOTICE_MS);
 });
+
+t.test("a watch whose events can't be read fails at once instead of waiting in vain", async t => {
+    const body = "no JSON\n";
+    const head = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length + 1}\r\n\r\n`;
+    const service = createHttpKeyValueService({ url: await startRawStore(t, head + body) });
+    const startedAt = readMonotonicMs();
+    await t.rejects(service.watchEntries("a/", 1, WATCH_MS), /events of a watch/);
+    t.ok(readMonotonicMs() - startedAt < MAX_NOTICE_MS);
+});
