Requests with headers that can't be sent on are refused at once

What callers saw: a request with a blank in a header's name, or a header without a name, got a 500 with an unknown outcome, though it had reached nobody.

Cause: the same leniency of the HTTP parser as for the heads of endpoints, in the other direction: the request failed where it was written to the endpoint.

Change: a filter of both routers, the first or after admission, refuses such a request with 400, not run, before anything is spent on it.

Evidence: three tests of spoiledHeadsTests, which fail on the code before.

--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -1,4 +1,5 @@
 import { type KeyValueService, createCountedService } from "../platform/index.js";
+import { createCheckHeaders } from "../router/filters/checkHeaders.js";
 import { createReadBody } from "../router/filters/readBody.js";
 import {
     createConcurrencyLimiter,
@@ -215,6 +216,7 @@
         names,
         getIndex,
         filters: [
+            createCheckHeaders<DirectExchange>(),
             createFindRoute({ isOutdated, drawRandom }),
             createFindTeam(names, isOutdated),
             createReadBody<DirectExchange>(exchange => ({
--- a/src/protocol/findHeadFault.ts
+++ b/src/protocol/findHeadFault.ts
@@ -12,7 +12,7 @@
  */
 export function findHeadFault({ statusCode, rawHeaders }: http.IncomingMessage): string | undefined {
     if (statusCode === undefined || statusCode < MIN_FINAL_STATUS || statusCode > MAX_FINAL_STATUS) {
-        return `response has the status ${String(statusCode)}, which is not a final one`;
+        return `the response has the status ${String(statusCode)}, which is not a final one`;
     }
     return findHeaderFault(rawHeaders);
 }
@@ -29,7 +29,7 @@
             http.validateHeaderName(name);
             http.validateHeaderValue(name, rawHeaders[index + 1] ?? "");
         } catch {
-            return `header ${JSON.stringify(name)} is malformed`;
+            return `the header ${JSON.stringify(name)} is malformed`;
         }
     }
     return undefined;
--- a/src/router/RouterServer.ts
+++ b/src/router/RouterServer.ts
@@ -10,6 +10,7 @@
 import { createAdmit } from "./filters/admit.js";
 import { createClassify } from "./filters/classify.js";
 import { createExecute } from "./filters/execute.js";
+import { createCheckHeaders } from "./filters/checkHeaders.js";
 import { createIdentify } from "./filters/identify.js";
 import { createReadBody } from "./filters/readBody.js";
 import { runPipeline } from "./pipeline.js";
@@ -65,6 +66,7 @@
             maxConcurrent: limits.concurrent,
             isClosed: () => isRefusingNew,
         }),
+        createCheckHeaders(),
         createIdentify(),
         createReadBody(() => ({ maxBytes: limits.bodyBytes, maxMs: limits.bodyMs })),
         createClassify(),
--- a/tests/direct/rawCaller.ts
+++ b/tests/direct/rawCaller.ts
@@ -26,6 +26,8 @@
     path: string;
     attempt: string;
     deadlineMs?: number;
+    /** Header to send as it is, well-formed or not. */
+    headerLine?: string;
     /** Time that the caller waits, in milliseconds. */
     waitMs: number;
 }
@@ -69,6 +71,7 @@
                 `Attempt-Id: ${request.attempt}`,
                 `X-Api-Key: ${TEAM_KEY}`,
                 ...(request.deadlineMs === undefined ? [] : [`Deadline-Ms: ${String(request.deadlineMs)}`]),
+                ...(request.headerLine === undefined ? [] : [request.headerLine]),
                 ...(request.method === "POST" ? ["Content-Length: 0"] : []),
                 HEAD_END.slice(2),
             ].join("\r\n"),
--- a/tests/direct/spoiledHeadsTests.ts
+++ b/tests/direct/spoiledHeadsTests.ts
@@ -7,6 +7,7 @@
 const MAX_ANSWER_MS = 1_000;
 const WAIT_MS = 3_000;
 const STATUS_OK = 200;
+const STATUS_BAD_REQUEST = 400;
 const STATUS_BAD_GATEWAY = 502;
 const EVENT = "id: 1\ndata: a\n\n";
 
@@ -76,3 +77,14 @@
         );
     });
 }
+
+for (const header of ["Bad Name: a", ": a", "Length : 5"]) {
+    t.test(`a request with the header '${header}' is refused at once instead of failing on its way out`, async t => {
+        const system = await startDirectSystem(t);
+        for (const { kind, method, path } of calls) {
+            const request = { method, path, attempt: `a-${kind}`, headerLine: header, waitMs: WAIT_MS };
+            t.match(await callRaw(system, request), { status: STATUS_BAD_REQUEST, isWhole: true }, kind);
+        }
+        t.equal(countSeen(system), 0);
+    });
+}
