A response with status 204 on a stream's route is buffered like other responses without events

What callers saw: a closed connection without a byte, where the endpoint sent status 204 with a body that broke off. All other broken first responses end with another endpoint's stream or with a 502.

Cause: Node.js keeps the head of a response without a body back until the response ends, while it counts as sent from the first event on; so it was too late for a refusal, and nothing had gone out.

Change: the relay of streams takes 204 for what it is, a response without events, and buffers it until it is complete.

--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -8,8 +8,14 @@
 import { ResponseRelay, RelayResult } from "./ResponseRelay.js";
 import { createBufferedRelay } from "./BufferedRelay.js";
 
+const STATUS_NO_CONTENT = 204;
 const FIRST_NON_SUCCESS_STATUS = 300;
 
+/** Tells whether a response has events; Node.js keeps the head of one without a body back until it ends. */
+function isStream(status: number): boolean {
+    return status < FIRST_NON_SUCCESS_STATUS && status !== STATUS_NO_CONTENT;
+}
+
 /** Observes the events of a stream. */
 export interface StreamListener {
     /** Called with the time since events were last forwarded, in milliseconds. */
@@ -37,7 +43,7 @@
 
     return new (class StreamRelay extends ResponseRelay {
         override relayResponse(endpointResponse: EndpointResponse, isFinalAttempt: boolean): Promise<RelayResult> {
-            if (endpointResponse.status >= FIRST_NON_SUCCESS_STATUS) {
+            if (!isStream(endpointResponse.status)) {
                 if (response.headersSent) {
                     endpointResponse.message.destroy();
                     return Promise.resolve(RelayResult.Failed);
--- a/tests/direct/spoiledHeadsTests.ts
+++ b/tests/direct/spoiledHeadsTests.ts
@@ -88,3 +88,23 @@
         t.equal(countSeen(system), 0);
     });
 }
+
+t.test(
+    "a stream whose endpoints send a broken body with status 204 ends with an answer, not with a closed connection",
+    async t => {
+        const system = await startDirectSystem(t);
+        system.endpoints.forEach(endpoint =>
+            endpoint.setScript((seen, socket) => {
+                const facts = `Attempt-Id: ${String(seen.headers["attempt-id"])}\r\nServer-Stamp: s-1\r\n`;
+                const chunk = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`;
+                socket.on("error", () => undefined);
+                socket.write(
+                    `HTTP/1.1 204 No Content\r\n${facts}Transfer-Encoding: chunked\r\n\r\n${chunk}\u0003`,
+                    () => socket.resetAndDestroy(),
+                );
+            }),
+        );
+        const answer = await callRaw(system, { method: "POST", path: "/advice/1", attempt: "a-1", waitMs: WAIT_MS });
+        t.match(answer, { status: STATUS_BAD_GATEWAY, isWhole: true });
+    },
+);
