Test: generated heads of endpoints leave no caller without a final answer

The soak's endpoints draw spoiled heads (status, interim status, name, value, upgrade, interim responses without end) with the other faults.

The first version of the caller that reads bytes waited for the body of a 204 or a 304, which have none (RFC 9112, 6.3); that was a fault of the test.

--- a/bench/soak/SoakEndpoint.ts
+++ b/bench/soak/SoakEndpoint.ts
@@ -1,4 +1,5 @@
 import type http from "node:http";
+import { match } from "ts-pattern";
 import { readMonotonicMs } from "../../src/utils/time.js";
 import { type EndpointStandin, startEndpointStandin } from "../../standins/endpoint/endpointStandin.js";
 import { type LinkStandin, startLinkStandin } from "../../standins/network/linkStandin.js";
@@ -14,6 +15,13 @@
     TurnedAway = "turned-away",
     Failure = "failure",
     Silence = "silence",
+    /** The others spoil the head alone. */
+    HeadStatus = "head-status",
+    HeadInterim = "head-interim",
+    HeadName = "head-name",
+    HeadValue = "head-value",
+    Upgrade = "upgrade",
+    EndlessInterims = "endless-interims",
 }
 
 /** An endpoint of the soak behind a link, which records what it runs. */
@@ -31,6 +39,8 @@
 export const STREAM_EVENTS = 12;
 const EVENT_MS = 25;
 const PLAIN_MS = 30;
+/** Interval of interim responses that never end, in milliseconds. */
+const INTERIM_MS = 40;
 const STATUS_OK = 200;
 const STATUS_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
@@ -100,6 +110,15 @@
     spoilage: Spoilage | undefined,
     response: http.ServerResponse,
 ): void {
+    const headBytes = buildSpoiledHead(spoilage, attempt);
+    if (headBytes !== undefined) {
+        response.socket?.end(headBytes, "latin1");
+        return;
+    }
+    if (spoilage === Spoilage.EndlessInterims) {
+        sendInterims(response);
+        return;
+    }
     if (spoilage === Spoilage.Silence) {
         return;
     }
@@ -115,6 +134,27 @@
     }
 }
 
+/** Builds a response whose head is spoiled, and else sound; undefined if the head isn't what is spoiled. */
+function buildSpoiledHead(spoilage: Spoilage | undefined, attempt: string): string | undefined {
+    const body = buildPlainAnswer(attempt);
+    const facts = `attempt-id: ${attempt}\r\nserver-stamp: stamp-${attempt}\r\n`;
+    const end = `content-length: ${body.length}\r\n\r\n${body}`;
+    return match(spoilage)
+        .with(Spoilage.HeadStatus, () => `HTTP/1.1 000 OK\r\n${facts}${end}`)
+        .with(Spoilage.HeadInterim, () => `HTTP/1.1 101 OK\r\n${facts}${end}`)
+        .with(Spoilage.HeadName, () => `HTTP/1.1 200 OK\r\n${facts}conte t-type: text/plain\r\n${end}`)
+        .with(Spoilage.HeadValue, () => `HTTP/1.1 200 OK\r\n${facts}x-other: a\u0001b\r\n${end}`)
+        .with(Spoilage.Upgrade, () => `HTTP/1.1 101 OK\r\n${facts}connection: upgrade\r\nupgrade: websocket\r\n\r\n`)
+        .otherwise(() => undefined);
+}
+
+function sendInterims(response: http.ServerResponse): void {
+    if (!response.destroyed) {
+        response.writeProcessing();
+        setTimeout(() => sendInterims(response), INTERIM_MS);
+    }
+}
+
 function sendEvents(attempt: string, id: number, spoilage: Spoilage | undefined, response: http.ServerResponse): void {
     if (response.destroyed) {
         return;
--- a/tests/direct/rawCaller.ts
+++ b/tests/direct/rawCaller.ts
@@ -37,6 +37,8 @@
 const REST_WAIT_MS = 20;
 const FIRST_FINAL_STATUS = 200;
 const STATUS_SWITCHING = 101;
+/** The head of a response that has no body, whatever its framing says. */
+const BODYLESS_STATUS = /^HTTP\/1\.1 (204|304) /;
 
 /**
  * Sends a request on a new connection and reads the answer's bytes, as Node.js's client hides some of them.
@@ -109,6 +111,9 @@
 }
 
 function parseBody(head: string, bytes: string, isClosed: boolean): Pick<RawAnswer, "body" | "isWhole" | "rest"> {
+    if (BODYLESS_STATUS.test(head)) {
+        return { body: "", isWhole: true, rest: bytes };
+    }
     const length = /^content-length: (\d+)$/im.exec(head)?.[1];
     if (length !== undefined) {
         const body = bytes.slice(0, Number(length));
