A refusal of a connection's bytes is kept apart from the requests on it

What callers saw: a 408, which promises that the request has not run and never will, and the request ran (rule REFUSED; whoever books again after it books twice). Two ways lead there. The rest of a head that came after its 408 completed the request, and it ran; a router that was stopped for longer than the header time-out gets there on its own, as its timers run before it reads what has come. And the 408, or a 400, for bytes behind a request that runs went out as the answer to that request.

Cause: what the parser can't read was answered on the connection as if nothing else were on it.

Change: `ConnectionGuard` knows the requests of each connection. After a refusal nothing that comes on that connection runs; while a request waits for its response, no refusal is written, and the connection is closed after the response. Both routers use it.

CallerServerTests: the three tests that are added fail on the code before. The agents' router has no test of its own for this.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,8 +1,8 @@
 import http from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
 import { Cause, Outcome, type Refusal, formatFractionalSeconds, getHeader, sendRefusal } from "../protocol/index.js";
 import { type Filter, runPipeline } from "../router/pipeline.js";
+import { createConnectionGuard } from "../utils/ConnectionGuard.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { watchDisconnect } from "../utils/watchDisconnect.js";
 import { createConnectionList } from "./ConnectionList.js";
@@ -68,6 +68,7 @@
     let isDraining = false;
     let isClosing = false;
     const connections = createConnectionList();
+    const guard = createConnectionGuard();
     let headerBytes = MAX_HEADER_BYTES;
     let idleWaiters: (() => void)[] = [];
     const server = http.createServer(
@@ -80,7 +81,11 @@
         (request, response) => void handleRequest(request, response),
     );
     server.on("connection", connections.addConnection);
-    server.on("clientError", rejectMalformed);
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        const status = getStatusLine(error.code);
+        const refusal = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+        guard.refuseConnection(error, socket as Socket, refusal);
+    });
     return {
         server,
         countActiveRequests: () => activeRequests,
@@ -103,6 +108,9 @@
     };
 
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (!guard.addRequest(request, response)) {
+            return;
+        }
         const { socket } = request;
         const requestsAhead = connections.beginRequest(socket);
         response.once("close", () => {
@@ -225,16 +233,6 @@
     return bytes;
 }
 
-function rejectMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
-    const hasAnswered = (socket as Socket).bytesWritten > 0;
-    if (error.code === "ECONNRESET" || !socket.writable || hasAnswered) {
-        socket.destroy();
-        return;
-    }
-    const status = getStatusLine(error.code);
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-}
-
 function getStatusLine(code: string | undefined): string {
     if (code === "HPE_HEADER_OVERFLOW") {
         return "431 Request Header Fields Too Large";
--- a/src/router/RouterServer.ts
+++ b/src/router/RouterServer.ts
@@ -1,9 +1,10 @@
 import http from "node:http";
-import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
 import { SpanKind } from "@opentelemetry/api";
 import type { DocumentIndex } from "../config/index.js";
 import { Cause, Outcome, type Refusal, sendRefusal } from "../protocol/index.js";
 import { EventId, endSpan } from "../telemetry/index.js";
+import { createConnectionGuard } from "../utils/ConnectionGuard.js";
 import { readMonotonicMs } from "../utils/time.js";
 import type { Exchange } from "./Exchange.js";
 import type { RouterContext } from "./RouterContext.js";
@@ -60,6 +61,7 @@
     let activeRequests = 0;
     let isDraining = false;
     let isRefusingNew = false;
+    const guard = createConnectionGuard();
     const filters = [
         createAdmit({
             getConcurrent: () => activeRequests,
@@ -81,7 +83,9 @@
         (request, response) => void handle(request, response),
     );
     server.requestTimeout = 0;
-    server.on("clientError", rejectMalformedRequest);
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) =>
+        guard.refuseConnection(error, socket as Socket, buildMalformedRefusal(error)),
+    );
     return {
         server,
         getActiveRequestCount: () => activeRequests,
@@ -95,6 +99,9 @@
     };
 
     async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (!guard.addRequest(request, response)) {
+            return;
+        }
         response.on("error", () => undefined);
         if (request.url === "/healthz") {
             response.writeHead(isDraining ? STATUS_UNAVAILABLE : STATUS_OK, { connection: "close" }).end();
@@ -187,11 +194,7 @@
     }
 }
 
-function rejectMalformedRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (error.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
+function buildMalformedRefusal(error: NodeJS.ErrnoException): string {
     const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
     const status = isTooLarge ? "431 Request Header Fields Too Large" : "400 Bad Request";
     const body = JSON.stringify({
@@ -203,7 +206,7 @@
         cause: Cause.MalformedRequest,
     });
     const head = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/problem+json`;
-    socket.end(`${head}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+    return `${head}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
 }
 
 function createNoDocumentRefusal(): Refusal {
--- a/tests/direct/CallerServerTests.ts
+++ b/tests/direct/CallerServerTests.ts
@@ -1,4 +1,5 @@
 import http from "node:http";
+import net from "node:net";
 import t from "tap";
 import { WIRE_HEADERS } from "../../platform/wireNames.js";
 import { type CallerServerOptions, createCallerServer } from "../../src/direct/CallerServer.js";
@@ -75,3 +76,69 @@
     });
     t.match(seen, { status: 200, isWhole: false, active: 0 });
 });
+
+const HEADER_TIMEOUT_MS = 1_000;
+/** Time in which the server notices a slow head, in milliseconds; it checks once a second. */
+const NOTICE_MS = 2_500;
+const FIRST_HALF = "GET /a HTTP/1.1\r\nHost: shop.example\r\n";
+
+/** Starts a server whose requests take a time, and a connection to it; counts what has run. */
+async function startSlowServer(t: OwningTest, workMs: number, headerTimeoutMs = HEADER_TIMEOUT_MS) {
+    let runs = 0;
+    const callers = createCallerServer({
+        filters: [
+            async ({ response }) => {
+                runs++;
+                await waitFor(workMs);
+                response.end("done");
+                return undefined;
+            },
+        ],
+        names: WIRE_HEADERS,
+        getIndex: () => ({}) as RouteIndex,
+        onSettled: () => undefined,
+        onError: () => undefined,
+    });
+    const limits = { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs, idleTimeoutMs: 15_000 };
+    callers.applyLimits(limits);
+    const port = await listenOn(callers.server, 0, ADDRESS);
+    const socket = net.connect({ port, host: ADDRESS, allowHalfOpen: true });
+    t.teardown(async () => {
+        socket.destroy();
+        callers.server.closeAllConnections();
+        callers.server.close();
+    });
+    let received = "";
+    socket.on("data", chunk => (received += chunk.toString("latin1")));
+    socket.on("error", () => undefined);
+    const closing = new Promise<void>(resolve => socket.on("end", resolve));
+    return { socket, countRuns: () => runs, getReceived: () => received, closing };
+}
+
+t.test("a request that arrives after its connection got a 408 does not run", async t => {
+    const { socket, countRuns, getReceived } = await startSlowServer(t, 0);
+    socket.write(FIRST_HALF);
+    await waitFor(NOTICE_MS);
+    t.match(getReceived(), /^HTTP\/1\.1 408 /);
+    socket.write("\r\n");
+    await waitFor(SETTLE_MS);
+    t.equal(countRuns(), 0);
+});
+
+t.test("half a request behind one that runs does not get that one a 408", async t => {
+    const { socket, countRuns, getReceived, closing } = await startSlowServer(t, NOTICE_MS + HEADER_TIMEOUT_MS);
+    socket.write(`${FIRST_HALF}\r\n${FIRST_HALF}`);
+    await waitFor(NOTICE_MS);
+    t.equal(getReceived(), "");
+    await closing;
+    t.match(getReceived(), /^HTTP\/1\.1 200 [^]*done/);
+    t.equal(countRuns(), 1);
+});
+
+t.test("bytes that are no request behind one that runs do not get that one a 400", async t => {
+    const { socket, countRuns, getReceived, closing } = await startSlowServer(t, SETTLE_MS, 15_000);
+    socket.write(`${FIRST_HALF}\r\n\0\0\0\0`);
+    await closing;
+    t.match(getReceived(), /^HTTP\/1\.1 200 [^]*done/);
+    t.equal(countRuns(), 1);
+});
