--- a/tests/agent/AgentServerTests.ts
+++ b/tests/agent/AgentServerTests.ts
@@ -1,6 +1,8 @@
 import net from "node:net";
 import t from "tap";
 import type { AgentCore } from "../../src/agent/AgentCore.js";
+import type { AttemptRecord } from "../../src/agent/AttemptLedger.js";
+import { AnswerEnd, createKeptAnswer } from "../../src/agent/KeptAnswer.js";
 import { createAgentServer } from "../../src/agent/AgentServer.js";
 import { HopHeader } from "../../src/protocol/index.js";
 import { createTracing } from "../../src/telemetry/index.js";
@@ -54,3 +56,40 @@
         await waitFor(POLL_INTERVAL_MS);
     }
 }
+
+t.test(
+    "an answer without a body, with status 204, reaches the router complete instead of failing in the server",
+    async t => {
+        const answer = createKeptAnswer();
+        const core = {
+            acceptAttempt: (request, listener) =>
+                listener.onAccepted({ id: request.id, answer, queueMs: 0 } as AttemptRecord),
+            releaseAttempt: () => undefined,
+            getLoad: () => ({
+                queued: 0,
+                running: 0,
+                waitMs: 0,
+                isDraining: false,
+                ahead: { urgent: 0, standard: 0, deferrable: 0 },
+            }),
+        } as Partial<AgentCore> as AgentCore;
+        const tracing = createTracing({ program: "test", host: "h1", zone: "a", collector: undefined });
+        const server = createAgentServer({ core, tracing, processKeys: [PROCESS_KEY], maxBodyBytes: 1_000 });
+        const port = await listenOn(server, 0, "127.0.0.1");
+        t.teardown(async () => {
+            server.closeAllConnections();
+            server.close();
+            await tracing.stop();
+        });
+        let received = "";
+        const router = net.connect(port, "127.0.0.1");
+        router.on("data", chunk => (received += chunk.toString()));
+        router.write(buildAttempt("a-1"));
+        await waitFor(POLL_INTERVAL_MS * 3);
+        t.doesNotThrow(() => answer.setHead({ status: 204, headers: {} }));
+        answer.finish(AnswerEnd.Whole);
+        await waitUntil(() => received.includes("\r\n\r\n"));
+        t.match(received, /^HTTP\/1\.1 204 /);
+        router.destroy();
+    },
+);
--- a/tests/soak/regressions.ts
+++ b/tests/soak/regressions.ts
@@ -13,4 +13,9 @@
         faultsMs: 10_000,
         cause: "the stand-in of a link let later data overtake earlier data when a delay ended (linkTests)",
     },
+    {
+        seed: 4004,
+        faultsMs: 6_000,
+        cause: "a request ran after its connection had got a 408, at a router that had stood still (CallerServerTests)",
+    },
 ];
