--- a/tests/direct/relay/StreamRelayTests.ts
+++ b/tests/direct/relay/StreamRelayTests.ts
@@ -51,6 +51,8 @@
 
 interface RelayedStream {
     exchange: DirectExchange;
+    /** Response of the endpoint, once its head has arrived. */
+    getMessage: () => http.IncomingMessage | undefined;
     result: Promise<RelayResult>;
 }
 
@@ -61,13 +63,14 @@
     options: { listener?: StreamListener; cloggingBytes?: number },
 ): Promise<{ caller: http.IncomingMessage; stream: RelayedStream }> {
     let onStream: (stream: RelayedStream) => void = () => undefined;
+    let message: http.IncomingMessage | undefined;
     const streaming = new Promise<RelayedStream>(resolve => (onStream = resolve));
     const server = http.createServer((request, response) => {
         const index = {} as RouteIndex;
         const exchange = createDirectExchange({ request, response, index, id: "a-1", callerTimeoutMs: 5_000 });
         response.writeHead(200);
         response.write(Buffer.alloc(options.cloggingBytes ?? 1));
-        onStream({ exchange, result: relayStream(exchange) });
+        onStream({ exchange, getMessage: () => message, result: relayStream(exchange) });
     });
     const port = await listenOn(server, 0, ADDRESS);
     const agent = new http.Agent();
@@ -89,6 +92,7 @@
         if ("failed" in call) {
             throw new Error(call.failed.detail);
         }
+        ({ message } = call.response);
         const relay = createStreamRelay(exchange, WIRE_HEADERS.lastEvent, options.listener ?? IGNORE_EVENTS);
         const result = await relay.relayResponse(call.response, true);
         if (result !== RelayResult.Complete) {
@@ -109,7 +113,9 @@
 t.test("a stream that has arrived completely but is unread at the deadline is not cut", async t => {
     const endpoint = await startEndpoint(t, true);
     const { caller, stream } = await startRelaying(t, endpoint.port, { cloggingBytes: CLOGGING_BYTES });
-    await waitFor(SETTLE_MS);
+    while (stream.getMessage()?.complete !== true) {
+        await waitFor(EVENT_GAP_MS);
+    }
     stream.exchange.abortController.abort();
     await waitFor(SETTLE_MS);
     const { body, isWhole } = await readAll(caller);
