Candidates for a request are decided in one place; settings and document name what hard load needs

Cause: which endpoints a request may be sent to was decided by the directory, the notices and the admission each for itself, and neither the document's cold rates, homes and engine memory nor the host's region and resources were read. The demand of a request (urgency, token counts, homes) is a plain value. Nothing is excluded that wasn't before.

--- a/src/direct/DirectCodec.ts
+++ b/src/direct/DirectCodec.ts
@@ -6,6 +6,13 @@
 /** A decoded value, or a description of why decoding failed. */
 export type DecodeResult<T> = { value: T } | { problem: string };
 
+/** Numbers of tokens that a request names. */
+export interface TokenCounts {
+    prompt: number;
+    /** Maximum length of the answer. */
+    answer: number;
+}
+
 /** Decodes the entries of the platform's key-value service, and headers whose values have a format of the platform. */
 export abstract class DirectCodec {
     /** Key prefix of the routing document. */
@@ -20,4 +27,6 @@
     abstract getEndpointId(key: string): string;
     /** Extracts the identifiers of the parts of a request's prompt that other requests may share, in order. */
     abstract decodeSharedParts(headers: IncomingHttpHeaders): string[];
+    /** Reads the token counts of a request; undefined if it tells none that can be read. */
+    abstract decodeTokenCounts(headers: IncomingHttpHeaders): TokenCounts | undefined;
 }
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -7,6 +7,8 @@
     SuspectTable,
 } from "../scheduling/index.js";
 import type { Logger } from "../telemetry/index.js";
+import type { EndpointCandidates } from "./candidates/index.js";
+import type { TokenCounts } from "./DirectCodec.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { EndpointNotices } from "./EndpointNotices.js";
@@ -22,6 +24,8 @@
     zone: string;
     names: HeaderNames;
     directory: EndpointDirectory;
+    /** Tells which endpoints a request may be sent to. */
+    candidates: EndpointCandidates;
     load: LoadTracker;
     health: EndpointHealth;
     /** What endpoints say of themselves in their answers. */
@@ -38,6 +42,8 @@
     logger: Logger;
     /** Extracts the parts of a request's prompt that other requests may share. */
     getSharedParts: (headers: IncomingHttpHeaders) => string[];
+    /** Reads the token counts of a request; undefined if it tells none. */
+    getTokenCounts: (headers: IncomingHttpHeaders) => TokenCounts | undefined;
     /** Time since the endpoint list was last updated from the platform or a peer, in milliseconds. */
     getEndpointAgeMs: () => number;
     /** Draws a random number in the interval from 0 to 1. */
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -1,6 +1,7 @@
 import type http from "node:http";
 import type { Cause } from "../protocol/index.js";
 import { readMonotonicMs } from "../utils/time.js";
+import { type RequestDemand, UNKNOWN_DEMAND } from "./candidates/RequestDemand.js";
 import type { RouteIndex } from "./RouteIndex.js";
 import type { RouteDefinition, TeamDefinition } from "./RoutingDocument.js";
 
@@ -40,6 +41,8 @@
     /** Parts of the prompt that other requests may share, each with the service, as an engine crashes on its own account. */
     sharedParts: string[];
     team: TeamDefinition | undefined;
+    /** What the request needs and is worth; known before it is sent to an endpoint. */
+    demand: RequestDemand;
     body: Buffer;
     /** Aborted when the caller disconnects or the exchange times out. */
     readonly abortController: AbortController;
@@ -84,6 +87,7 @@
         service: "",
         sharedParts: [],
         team: undefined,
+        demand: UNKNOWN_DEMAND,
         body: Buffer.alloc(0),
         abortController: new AbortController(),
         isCallerGone: false,
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -38,6 +38,23 @@
     lapseGraceMs: z.number().min(0),
     /** Time after which the entry of a dead endpoint is gone from the platform's store, in milliseconds. */
     entryLifetimeMs: z.number().min(0),
+    /** Region of this host; absent on platforms without regions. */
+    region: z.string().optional(),
+    /** Region of each availability zone. */
+    zoneRegions: z.record(z.string(), z.string()).optional(),
+    /** Time within which no endpoint of an evacuated availability zone may get a request, in milliseconds. */
+    evacuateMs: z.number().min(1).optional(),
+    /** How far the requests to a cold endpoint may exceed the rate that its service names. */
+    cold: z.strictObject({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
+    /** What this host gives the process; absent fields are unknown. */
+    resources: z
+        .strictObject({
+            memoryMb: z.number().min(1).optional(),
+            /** Share of one core, or number of cores. */
+            cores: z.number().min(0).optional(),
+            linkMbps: z.number().min(0).optional(),
+        })
+        .optional(),
 });
 
 /** Checked settings of a direct router. */
--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -21,8 +21,10 @@
 /** Remembers what endpoints say of themselves in their answers, and lets the choice of an endpoint obey it. */
 export interface EndpointNotices {
     recordNotice(endpoint: EndpointRecord, notice: EndpointNotice, now: number): void;
-    /** Lists the endpoints that neither leave nor want a pause. */
-    listAccepting(endpoints: readonly EndpointRecord[], now: number): EndpointRecord[];
+    /** Tells whether an endpoint said, since its start, that it leaves. */
+    isLeaving(endpoint: EndpointRecord): boolean;
+    /** Tells whether any endpoint said that it leaves. */
+    hasLeaving(): boolean;
     /** Gets the time until the first of the endpoints wants requests again, in milliseconds; undefined if none paused. */
     getPauseMs(endpoints: readonly EndpointRecord[], now: number): number | undefined;
     /** Lists the endpoints that said that they leave, with their start times. */
@@ -83,10 +85,8 @@
     const leaving = new Map<string, LeavingMark>();
     return {
         recordNotice,
-        listAccepting: (endpoints, now) =>
-            leaving.size === 0 && pauses.isEmpty()
-                ? [...endpoints]
-                : endpoints.filter(endpoint => !isLeaving(endpoint) && pauses.getPausedUntil(endpoint.id) <= now),
+        isLeaving,
+        hasLeaving: () => leaving.size > 0,
         getPauseMs(endpoints, now) {
             const paused = endpoints.filter(
                 endpoint => !isLeaving(endpoint) && pauses.getPausedUntil(endpoint.id) > now,
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -2,7 +2,7 @@
 import { computeHashFraction } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
-import type { EndpointNotices } from "./EndpointNotices.js";
+import type { EndpointCandidates, RequestDemand } from "./candidates/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -38,7 +38,7 @@
     load: LoadTracker;
     pace: ConcurrencyLimiter;
     limiter: SharedRateLimiter;
-    notices: EndpointNotices;
+    candidates: EndpointCandidates;
 }
 
 interface QueuedRequest {
@@ -65,7 +65,7 @@
  * @param options - Endpoints, their load and the limit on it.
  */
 export function createRequestAdmission(options: RequestAdmissionOptions): RequestAdmission {
-    const { directory, load, pace, limiter, notices } = options;
+    const { directory, load, pace, limiter, candidates } = options;
     const queues = new Map<string, QueuedRequest[]>();
     const polledServices = new Set<string>();
     const averageFirstEventMs = new Map<string, number>();
@@ -81,7 +81,7 @@
         const now = readMonotonicMs();
         const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
-        const untried = listUntried(service, tried, now);
+        const untried = listUntried(service, exchange.demand, tried, now);
         if (!needsFreeSlot || hasFreeSlot) {
             const open = limiter.drawOpen(untried, service, 1, now);
             if (open.length > 0 || untried.length === 0) {
@@ -126,9 +126,13 @@
     }
 
     /** Lists the endpoints of a service that accept requests, without those that were tried. */
-    function listUntried(service: string, tried: ReadonlySet<string>, now: number): EndpointRecord[] {
-        const untried = directory.listServing(service).filter(({ id }) => !tried.has(id));
-        return notices.listAccepting(untried, now);
+    function listUntried(
+        service: string,
+        demand: RequestDemand,
+        tried: ReadonlySet<string>,
+        now: number,
+    ): EndpointRecord[] {
+        return candidates.listCandidates(service, demand, now).filter(({ id }) => !tried.has(id));
     }
 
     function startPolling(service: string): void {
@@ -153,7 +157,7 @@
             return;
         }
         const now = readMonotonicMs();
-        const untried = listUntried(service, next.tried, now);
+        const untried = listUntried(service, next.exchange.demand, next.tried, now);
         const open = limiter.drawOpen(untried, service, queued.length, now);
         if (open.length === 0 && untried.length > 0) {
             return;
--- a/src/direct/RoutingDocument.ts
+++ b/src/direct/RoutingDocument.ts
@@ -36,6 +36,8 @@
     isResumable: boolean;
     /** Maximum pause between two events of a stream, in milliseconds; 0 if no maximum is declared. */
     maxPauseMs: number;
+    /** Regions whose endpoints may run the requests; absent or empty if any may. */
+    homeRegions?: readonly string[] | undefined;
 }
 
 /** Published cost model of an inference engine whose ranks run in lock-step. */
@@ -56,6 +58,8 @@
     usualAnswerTokens: number;
     /** Delay of an engine's load reports, in milliseconds. */
     reportLagMs: number;
+    /** Tokens that the memory of an engine holds; absent if unknown. */
+    memoryTokens?: number | undefined;
     experts: ExpertLayout | undefined;
 }
 
@@ -82,6 +86,15 @@
     /** Maximum number of connections that one endpoint accepts in total; 0 if unknown. */
     maxConnections: number;
     engine: EngineCostModel | undefined;
+    /** How endpoints behave after a start; absent if they are never cold. */
+    cold?: ColdBehavior | undefined;
+}
+
+/** How long an endpoint is cold after it starts, and what it stands meanwhile. */
+export interface ColdBehavior {
+    startMs: number;
+    /** Requests per second. */
+    perSecond: number;
 }
 
 /** Size limits and timeouts for callers' requests. */
@@ -98,6 +111,8 @@
     keys: readonly string[];
     /** Takes precedence over the urgency of the route; undefined if the team has none. */
     urgency: number | undefined;
+    /** Regions whose endpoints may run the team's requests; absent or empty if any may. */
+    homeRegions?: readonly string[] | undefined;
 }
 
 /** One version of a direct router's routing configuration. */
--- /dev/null
+++ b/src/direct/candidates/index.ts
@@ -0,0 +1,5 @@
+export * from "./CandidateRule.js";
+export * from "./EndpointCandidates.js";
+export * from "./ExclusionReason.js";
+export * from "./RequestDemand.js";
+export * from "./noticeRules.js";
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -21,6 +21,7 @@
 import type { DirectSettings } from "./DirectSettings.js";
 import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointNotices } from "./EndpointNotices.js";
+import { createEndpointCandidates, createLeavingRule, createPauseRule } from "./candidates/index.js";
 import { createEndpointPauses } from "./EndpointPauses.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -161,14 +162,16 @@
     });
     const pauses = createEndpointPauses();
     const notices = createEndpointNotices(limiter, pauses, logger);
+    const candidates = createEndpointCandidates(directory, [createLeavingRule(notices), createPauseRule(pauses)]);
     return {
         host: settings.host,
         zone: settings.zone,
         names,
         directory,
+        candidates,
         load,
         pace,
-        admission: createRequestAdmission({ directory, load, pace, limiter, notices }),
+        admission: createRequestAdmission({ directory, load, pace, limiter, candidates }),
         health,
         limiter,
         notices,
@@ -185,6 +188,7 @@
         outages: createOutageDetector(),
         logger,
         getSharedParts: headers => codec.decodeSharedParts(headers),
+        getTokenCounts: headers => codec.decodeTokenCounts(headers),
         getEndpointAgeMs: knowledge.getEndpointAgeMs,
         drawRandom: Math.random,
     };
--- a/tap-snapshots/dist/tests/platform/decodeTests.js.test.cjs
+++ b/tap-snapshots/dist/tests/platform/decodeTests.js.test.cjs
@@ -16,6 +16,7 @@
     },
     "routes": Array [
       Object {
+        "homeRegions": undefined,
         "host": "shop.example",
         "isPublic": false,
         "isResumable": false,
@@ -35,6 +36,7 @@
         "urgency": 2,
       },
       Object {
+        "homeRegions": undefined,
         "host": "shop.example",
         "isPublic": false,
         "isResumable": false,
@@ -54,6 +56,7 @@
         "urgency": 1,
       },
       Object {
+        "homeRegions": undefined,
         "host": "shop.example",
         "isPublic": false,
         "isResumable": true,
@@ -75,6 +78,7 @@
     ],
     "services": Array [
       Object {
+        "cold": undefined,
         "engine": undefined,
         "maxConnections": 100,
         "name": "app",
@@ -82,6 +86,7 @@
     ],
     "teams": Array [
       Object {
+        "homeRegions": undefined,
         "keys": Array [
           "key-of-team-one",
         ],
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -5,6 +5,7 @@
 import { createLogger } from "../../src/telemetry/logger.js";
 import { createLoadTracker } from "../../src/direct/LoadTracker.js";
 import { createEndpointPauses } from "../../src/direct/EndpointPauses.js";
+import { createEndpointCandidates, createLeavingRule, createPauseRule } from "../../src/direct/candidates/index.js";
 import { createEndpointNotices } from "../../src/direct/EndpointNotices.js";
 import { createRequestAdmission } from "../../src/direct/RequestAdmission.js";
 
@@ -32,8 +33,10 @@
     const pace = { recordPause: () => undefined, getAllowedShare: () => allowedPart };
     const limiter = createSharedRateLimiter({ getReportDelayMs: () => 0, getShare: () => 1, drawRandom: () => 0 });
     const logger = createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() });
-    const notices = createEndpointNotices(limiter, createEndpointPauses(), logger);
-    const admission = createRequestAdmission({ directory, load, pace, limiter, notices });
+    const pauses = createEndpointPauses();
+    const notices = createEndpointNotices(limiter, pauses, logger);
+    const candidates = createEndpointCandidates(directory, [createLeavingRule(notices), createPauseRule(pauses)]);
+    const admission = createRequestAdmission({ directory, load, pace, limiter, candidates });
     return {
         load,
         limiter,
