Direct router: evacuation of an availability zone

Cause: an operator had no way to keep requests away from the endpoints of a zone. Change: keys below op/evacuate/ name zones whose endpoints are no candidates and no capacity. Zones of an earlier era stay evacuated until the new one names them or evacuateMs has passed. A router that starts knows them before it serves, and reads the store itself when its knowledge is older than 0.7 of the bound. A refusal names the cause. Nothing of it is in use without evacuateMs in the settings.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -85,6 +85,11 @@
  * store itself.
  */
 const MAX_DOCUMENT_BEHIND_FRACTION = 0.4;
+/**
+ * Fraction of `evacuateMs` that the knowledge of evacuated zones may be unconfirmed before a router reads the store itself. The
+ * rest is enough for one call that hangs, one that is answered, and the connection of a request sent before.
+ */
+const MAX_EVACUATION_AGE_FRACTION = 0.7;
 /** Fraction of `applyMs` from which an unconfirmed document may lack a route or a key that is in force elsewhere. */
 const STALE_DOCUMENT_FRACTION = 0.75;
 /**
@@ -101,13 +106,14 @@
  */
 export function startClusterView(options: ClusterViewOptions): ClusterView {
     const { settings, service, codec, holder, context, logger } = options;
-    const { directory, load, suspects, quarantine, limiter, notices, pauses } = context;
+    const { directory, load, suspects, quarantine, limiter, notices, pauses, evacuations } = context;
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
     const startedAt = readMonotonicMs();
     let isLeaving = false;
     let hasUsableDocument = false;
+    let hasUsableZones = false;
     const storeSync: StoreSync = startStoreSync({
         service,
         codec,
@@ -118,6 +124,7 @@
         isOnDuty,
         knowledge,
         documentKnowledge,
+        evacuations,
         logger,
     });
     const gossip: PeerGossip = startPeerGossip({
@@ -141,6 +148,7 @@
         applyMs: settings.applyMs,
         knowledge,
         documentKnowledge,
+        evacuations,
         isReadingStore: () => storeSync.isReading(),
         logger,
     });
@@ -153,6 +161,7 @@
             storeEra: knowledge.getPosition().era,
             endpointRevision: knowledge.getPosition().revision,
             endpointAgeMs: roundAge(knowledge.getAgeMs()),
+            evacuations: evacuations.buildReport(),
         }),
         answerDocumentRequest: request => documentServer.answerRequest(request),
         isReadingStore: () => storeSync.isReading(),
@@ -182,6 +191,8 @@
             maxDocumentAgeMs: MAX_DOCUMENT_AGE_FRACTION * settings.applyMs,
             documentBehindMs: documentKnowledge.getBehindMs(),
             maxDocumentBehindMs: MAX_DOCUMENT_BEHIND_FRACTION * settings.applyMs,
+            evacuationAgeMs: evacuations.getAgeMs(),
+            maxEvacuationAgeMs: MAX_EVACUATION_AGE_FRACTION * (settings.evacuateMs ?? Number.POSITIVE_INFINITY),
             maxSilenceMs: PLATFORM_SILENCE_MS,
             peers: gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS),
         });
@@ -215,6 +226,7 @@
             ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
+            evacuations: evacuations.buildReport(),
             isLeaving,
         };
     }
@@ -241,6 +253,9 @@
         );
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
+        if (message.evacuations !== undefined) {
+            evacuations.mergeReport(message.evacuations, message.address);
+        }
         fallback.handleMessage(message);
     }
 
@@ -248,7 +263,20 @@
         const upMs = readMonotonicMs() - startedAt;
         const hasHeard = gossip.hasRecent(MAX_PEER_MESSAGE_AGE_MS) || upMs >= FIRST_HEARING_FRACTION * settings.applyMs;
         hasUsableDocument ||= (hasHeard && !isDocumentStale()) || upMs >= settings.applyMs;
-        return hasUsableDocument;
+        hasUsableZones ||= isZoneKnowledgeUsable(upMs);
+        return hasUsableDocument && hasUsableZones;
+    }
+
+    /**
+     * A router that starts must know the evacuated zones. Old knowledge will do once the document is no longer waited for either,
+     * and none once the time for an evacuation is over: then only routers of earlier versions can be reached, or nobody.
+     */
+    function isZoneKnowledgeUsable(upMs: number): boolean {
+        const { evacuateMs, applyMs } = settings;
+        if (evacuateMs === undefined || evacuations.getAgeMs() < evacuateMs) {
+            return true;
+        }
+        return upMs >= evacuateMs || (evacuations.isKnown() && upMs >= applyMs);
     }
 
     function isDocumentStale(): boolean {
--- a/src/direct/CrashGuard.ts
+++ b/src/direct/CrashGuard.ts
@@ -77,6 +77,9 @@
         if (state.lastFailure === CallFailure.Cancelled || state.lastFailure === CallFailure.Mismatched) {
             return;
         }
+        if (context.evacuations.isEvacuated(endpoint.zone)) {
+            return;
+        }
         const probe = await probeConnection(endpoint.host, endpoint.port);
         if (probe === ProbeResult.Listening) {
             return;
--- a/src/direct/DirectCodec.ts
+++ b/src/direct/DirectCodec.ts
@@ -15,13 +15,15 @@
 
 /** Decodes the entries of the platform's key-value service, and headers whose values have a format of the platform. */
 export abstract class DirectCodec {
-    /** Key prefix of the routing document. */
+    /** Key prefix of the routing document and of the evacuated availability zones. */
     abstract readonly documentPrefix: string;
     /** Key prefix of the endpoint registrations. */
     abstract readonly endpointPrefix: string;
     /** Returns whether a key is the one of the routing document; the prefix may match other keys too. */
     abstract isDocumentKey(key: string): boolean;
     abstract decodeDocument(text: string): DecodeResult<RoutingDocument>;
+    /** Extracts the availability zone from the key that evacuates it; undefined for other keys. */
+    abstract getEvacuatedZone(key: string): string | undefined;
     abstract decodeEndpoint(entry: KeyValueEntry): DecodeResult<EndpointRecord>;
     /** Extracts an endpoint's identifier from its key. */
     abstract getEndpointId(key: string): string;
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -9,6 +9,7 @@
 import type { DocumentReply } from "./DocumentServer.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import { type EndpointKnowledge, PLATFORM_SILENCE_MS } from "./EndpointKnowledge.js";
+import type { EvacuationKnowledge } from "./evacuation/index.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
 import type { DirectControl, RouterSnapshot } from "./directControl.js";
 
@@ -28,6 +29,7 @@
     applyMs: number;
     knowledge: EndpointKnowledge;
     documentKnowledge: DocumentKnowledge;
+    evacuations: Pick<EvacuationKnowledge, "mergeReport">;
     /** Tells whether this router reads the store itself. */
     isReadingStore: () => boolean;
     logger: Logger;
@@ -206,6 +208,9 @@
     }
 
     function applySnapshot(snapshot: RouterSnapshot, address: string): void {
+        if (snapshot.evacuations !== undefined) {
+            options.evacuations.mergeReport(snapshot.evacuations, address);
+        }
         if (snapshot.document !== undefined) {
             holder.applyDocument(snapshot.document, address);
         }
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -34,7 +34,8 @@
 
 /** Options of the admission. */
 export interface RequestAdmissionOptions {
-    directory: EndpointDirectory;
+    /** Endpoints whose slots count. */
+    directory: Pick<EndpointDirectory, "listServing">;
     load: LoadTracker;
     pace: ConcurrencyLimiter;
     limiter: SharedRateLimiter;
@@ -202,9 +203,12 @@
     function hasCapacity(service: string): boolean {
         const now = readMonotonicMs();
         const allowedShare = pace.getAllowedShare(service, now);
+        const endpoints = directory.listServing(service);
         return (
             allowedShare === undefined ||
-            directory.listServing(service).some(endpoint => {
+            // Without endpoints, waiting does not help: the request is refused at once.
+            endpoints.length === 0 ||
+            endpoints.some(endpoint => {
                 // Each endpoint rounds a fractional limit by its own offset, so that the mean over the endpoints is exact.
                 const limit = Math.floor(endpoint.slots * allowedShare + computeHashFraction(endpoint.id));
                 return load.getLoad(endpoint.id, now) < limit;
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -14,6 +14,7 @@
 import type { EndpointKnowledge } from "./EndpointKnowledge.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
+import { type EvacuationKnowledge, createStoreEvacuations } from "./evacuation/index.js";
 import { computeDocumentWatchTimes, computeWatchTimes } from "./computeWatchTimes.js";
 
 /** Options of the synchronisation with the store. */
@@ -32,6 +33,8 @@
     knowledge: EndpointKnowledge;
     /** Updated with each answer on the document. */
     documentKnowledge: DocumentKnowledge;
+    /** Updated with each answer on the evacuated zones, whose keys have the prefix of the document. */
+    evacuations: EvacuationKnowledge;
     logger: Logger;
 }
 
@@ -60,6 +63,7 @@
  */
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
     const { service, codec, holder, directory, logger } = options;
+    const storeEvacuations = createStoreEvacuations(codec, options.evacuations, logger);
     const documentTimes = computeDocumentWatchTimes(options.applyMs);
     let answeredAt = Number.NEGATIVE_INFINITY;
     let documentAnsweredAt = Number.NEGATIVE_INFINITY;
@@ -81,10 +85,19 @@
         isPaused,
         listener: {
             onEra: position => recordEra(position, [endpointWatcher]),
-            onListing: entries => entries.forEach(applyDocument),
-            onChanged: applyDocument,
-            onDeleted: () => undefined,
-            onAnswer: confirmDocument,
+            onListing(entries) {
+                entries.forEach(applyDocument);
+                storeEvacuations.applyListing(entries);
+            },
+            onChanged(entry) {
+                applyDocument(entry);
+                storeEvacuations.applyEntry(entry);
+            },
+            onDeleted: storeEvacuations.removeKey,
+            onAnswer(position) {
+                confirmDocument();
+                storeEvacuations.confirm(position);
+            },
             onFailure: (error, call) => recordFailure(codec.documentPrefix, error, call),
         },
     });
@@ -110,6 +123,7 @@
         async () => {
             updateDuty();
             checkDocumentNews();
+            options.evacuations.expireKept();
         },
         error => logger.logFailure(EventId.TaskFailed, error, { task: "store duty" }),
     );
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -1,5 +1,6 @@
 import { Cause, Outcome, type Refusal } from "../protocol/index.js";
 import { readMonotonicMs } from "../utils/time.js";
+import { type AssessedEndpoint, ExclusionReason } from "./candidates/index.js";
 import { type RetryState, SendResult } from "./RetryState.js";
 import type { DirectContext } from "./DirectContext.js";
 import type { RoutedExchange } from "./DirectExchange.js";
@@ -80,12 +81,41 @@
  * @param context - Shared parts of the router.
  */
 export function createNoEndpointRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
-    const serving = context.directory.listServing(exchange.service);
-    const pauseMs = context.notices.getPauseMs(serving, readMonotonicMs()) ?? RETRY_DELAY_MS;
+    const now = readMonotonicMs();
+    const assessed = context.candidates.assessEndpoints(exchange.service, exchange.demand, now);
+    const excluded = createExclusionRefusal(state, exchange, assessed);
+    if (excluded !== undefined) {
+        return excluded;
+    }
+    const serving = assessed.map(({ endpoint }) => endpoint);
+    const pauseMs = context.notices.getPauseMs(serving, now) ?? RETRY_DELAY_MS;
     const delayMs = computeRetryDelay(exchange, Math.max(RETRY_DELAY_MS, pauseMs));
     return createRefusal(state, Cause.NoEndpoint, "no endpoint is available for the request", delayMs);
 }
 
+/**
+ * Names what excludes the endpoints if it lasts longer than a request: an evacuation, or the homes of the route and team. Its end
+ * isn't known, so the caller is asked for the longest delay that it honours.
+ */
+function createExclusionRefusal(
+    state: RetryState,
+    exchange: RoutedExchange,
+    assessed: readonly AssessedEndpoint[],
+): Refusal | undefined {
+    const untried = assessed.filter(({ endpoint }) => !state.triedEndpoints.has(endpoint.id));
+    const delayMs = computeRetryDelay(exchange, Number.POSITIVE_INFINITY);
+    const isOutside = ({ reasons }: AssessedEndpoint): boolean => reasons.includes(ExclusionReason.OutsideHomes);
+    if (assessed.length > 0 && assessed.every(isOutside)) {
+        return createRefusal(state, Cause.OutsideHomes, "no endpoint is in the homes of the request", delayMs);
+    }
+    const isEvacuated = untried.some(
+        assessment => !isOutside(assessment) && assessment.reasons.includes(ExclusionReason.Evacuated),
+    );
+    return isEvacuated && untried.every(({ reasons }) => reasons.length > 0)
+        ? createRefusal(state, Cause.ZoneEvacuated, "the availability zones with endpoints are evacuated", delayMs)
+        : undefined;
+}
+
 /**
  * Limits a retry delay to what the caller will wait.
  * @param exchange - Exchange that is refused.
--- a/src/direct/directControl.ts
+++ b/src/direct/directControl.ts
@@ -2,6 +2,7 @@
 import type { RoutingDocument } from "./RoutingDocument.js";
 import { buildRouter, processProcedure } from "../control/index.js";
 import type { DocumentReply, DocumentRequest } from "./DocumentServer.js";
+import type { EvacuationReport } from "../peers/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 
 /** Routes and endpoints known to a router, for another router that can't reach the platform. */
@@ -18,6 +19,8 @@
      * versions, which are asked only while they have recent answers.
      */
     endpointAgeMs: number | undefined;
+    /** Evacuated availability zones; undefined before they are known, and from routers of earlier versions. */
+    evacuations?: EvacuationReport | undefined;
 }
 
 /** What the control procedures give to other routers. */
--- /dev/null
+++ b/src/direct/evacuation/createUsableEndpoints.ts
@@ -0,0 +1,19 @@
+import type { EndpointDirectory } from "../EndpointDirectory.js";
+import type { EvacuationKnowledge } from "./EvacuationKnowledge.js";
+
+/**
+ * Creates the view of the endpoints whose slots are capacity: those of evacuated availability zones are none.
+ * @param directory - Known endpoints.
+ * @param evacuations - Evacuated zones.
+ */
+export function createUsableEndpoints(
+    directory: Pick<EndpointDirectory, "listServing">,
+    evacuations: Pick<EvacuationKnowledge, "isEvacuated" | "isEmpty">,
+): Pick<EndpointDirectory, "listServing"> {
+    return {
+        listServing(service) {
+            const endpoints = directory.listServing(service);
+            return evacuations.isEmpty() ? endpoints : endpoints.filter(({ zone }) => !evacuations.isEvacuated(zone));
+        },
+    };
+}
--- /dev/null
+++ b/src/direct/evacuation/evacuationRule.ts
@@ -0,0 +1,22 @@
+import { CandidateRule } from "../candidates/CandidateRule.js";
+import { ExclusionReason } from "../candidates/ExclusionReason.js";
+import type { EndpointRecord } from "../EndpointRecord.js";
+import type { EvacuationKnowledge } from "./EvacuationKnowledge.js";
+
+/**
+ * Creates the rule that excludes endpoints of evacuated availability zones.
+ * @param evacuations - Evacuated zones.
+ */
+export function createEvacuationRule(evacuations: Pick<EvacuationKnowledge, "isEvacuated" | "isEmpty">): CandidateRule {
+    return new (class EvacuationRule extends CandidateRule {
+        override readonly reason = ExclusionReason.Evacuated;
+
+        override isIdle(): boolean {
+            return evacuations.isEmpty();
+        }
+
+        override isExcluded(endpoint: EndpointRecord): boolean {
+            return evacuations.isEvacuated(endpoint.zone);
+        }
+    })();
+}
--- /dev/null
+++ b/src/direct/evacuation/index.ts
@@ -0,0 +1,5 @@
+export * from "./EvacuationKnowledge.js";
+export * from "./Evacuations.js";
+export * from "./StoreEvacuations.js";
+export * from "./createUsableEndpoints.js";
+export * from "./evacuationRule.js";
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -22,6 +22,7 @@
 import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointNotices } from "./EndpointNotices.js";
 import { createEndpointCandidates, createLeavingRule, createPauseRule } from "./candidates/index.js";
+import { createEvacuationRule, createEvacuations, createUsableEndpoints } from "./evacuation/index.js";
 import { createEndpointPauses } from "./EndpointPauses.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -162,16 +163,33 @@
     });
     const pauses = createEndpointPauses();
     const notices = createEndpointNotices(limiter, pauses, logger);
-    const candidates = createEndpointCandidates(directory, [createLeavingRule(notices), createPauseRule(pauses)]);
+    const evacuations = createEvacuations({
+        settings,
+        hasEndpoint: zone => directory.listRecords().some(record => record.zone === zone),
+        announce: knowledge.announceNews,
+        logger,
+    });
+    const candidates = createEndpointCandidates(directory, [
+        createEvacuationRule(evacuations),
+        createLeavingRule(notices),
+        createPauseRule(pauses),
+    ]);
     return {
         host: settings.host,
         zone: settings.zone,
         names,
         directory,
         candidates,
+        evacuations,
         load,
         pace,
-        admission: createRequestAdmission({ directory, load, pace, limiter, candidates }),
+        admission: createRequestAdmission({
+            directory: createUsableEndpoints(directory, evacuations),
+            load,
+            pace,
+            limiter,
+            candidates,
+        }),
         health,
         limiter,
         notices,
--- a/src/direct/storeDuty.ts
+++ b/src/direct/storeDuty.ts
@@ -22,6 +22,9 @@
     /** Time for which this router has known of a higher version, and maximum of it, in milliseconds. */
     documentBehindMs: number;
     maxDocumentBehindMs: number;
+    /** Age of what this router knows of evacuated zones, and age from which it reads the store itself, in milliseconds. */
+    evacuationAgeMs: number;
+    maxEvacuationAgeMs: number;
     /** Time without an answer of the store after which the next router of the zone takes over, in milliseconds. */
     maxSilenceMs: number;
     /** Routers that were heard from lately. */
@@ -31,7 +34,7 @@
 /**
  * Tells whether a router reads the store itself instead of learning from its peers. In each zone, the first router in a
  * fixed order that has recent answers of the store does, so that the load of the store does not grow with the number of
- * routers. Any router whose list or document is too old does too: no failure of others makes it miss a change for longer.
+ * routers. Any router whose list, document or knowledge of evacuated zones is too old does too: no failure of others makes it miss a change for longer.
  * @param options - This router and its peers.
  */
 export function isOnStoreDuty(options: DutyOptions): boolean {
@@ -39,7 +42,8 @@
     const isOutdated =
         options.knowledgeAgeMs >= options.maxKnowledgeAgeMs ||
         options.documentAgeMs >= options.maxDocumentAgeMs ||
-        options.documentBehindMs >= options.maxDocumentBehindMs;
+        options.documentBehindMs >= options.maxDocumentBehindMs ||
+        options.evacuationAgeMs >= options.maxEvacuationAgeMs;
     if (isOutdated) {
         return true;
     }
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -5,6 +5,7 @@
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
+import { evacuationReportSchema } from "./evacuationReport.js";
 
 const messageSchema = z.object({
     host: z.string(),
@@ -42,6 +43,8 @@
     pauses: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Attempts per second to find an endpoint of a service with such limits. */
     attempts: z.record(z.string(), z.number()).default({}),
+    /** Evacuated availability zones; absent if the sender knows nothing of them, or is of an earlier version. */
+    evacuations: evacuationReportSchema.optional(),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
     routers: z.array(z.ipv4()),
     /** Zones of these routers, in the same order. */
--- a/src/protocol/Cause.ts
+++ b/src/protocol/Cause.ts
@@ -14,6 +14,10 @@
     Overload = "overload",
     TeamOverShare = "team-over-share",
     NoEndpoint = "no-endpoint",
+    /** The endpoints that could have run the request are in evacuated availability zones. */
+    ZoneEvacuated = "zone-evacuated",
+    /** No endpoint is in the home regions of the route and the team. */
+    OutsideHomes = "outside-homes",
     EndpointDraining = "endpoint-draining",
     EndpointLost = "endpoint-lost",
     EndpointSlow = "endpoint-slow",
--- /dev/null
+++ b/tests/direct/evacuation/evacuationTests.ts
@@ -0,0 +1,32 @@
+import t from "tap";
+import { waitFor } from "../../../src/utils/time.js";
+import { writeKey } from "../../../standins/platform/writeKey.js";
+import { callRouter, startDirectSystem, startSecondRouter } from "../fixtures.js";
+
+const EVACUATE_MS = 2_000;
+const SECOND_ADDRESS = "127.0.0.2";
+
+t.test("no router sends to an evacuated zone, and the refusal names the cause at once", async t => {
+    const first = await startDirectSystem(t, 1, store => store, undefined, { evacuateMs: EVACUATE_MS });
+    first.endpoints[0]?.setScript((seen, socket, response) => {
+        response.writeHead(200, { "attempt-id": seen.headers["attempt-id"], "server-stamp": "s-1" }).end("done");
+    });
+    const second = await startSecondRouter(t, first, SECOND_ADDRESS, first.store, SECOND_ADDRESS, {
+        evacuateMs: EVACUATE_MS,
+    });
+    t.equal((await callRouter(first, { path: "/stock/1" })).status, 200);
+    await writeKey(first.store, "op/evacuate/a", "{}");
+    await waitFor(EVACUATE_MS);
+    for (const system of [first, second]) {
+        const answer = await callRouter(system, { path: "/stock/1" });
+        t.equal(answer.status, 503);
+        t.match(answer.body, '"cause":"zone-evacuated"');
+        t.ok(Number(answer.headers["retry-after"]) > 0.4, "as long as the caller honours");
+    }
+    t.equal(first.endpoints[0]?.seen.length, 1);
+    await writeKey(first.store, "op/evacuate/a", undefined);
+    await waitFor(EVACUATE_MS);
+    for (const system of [first, second]) {
+        t.equal((await callRouter(system, { path: "/stock/1" })).status, 200);
+    }
+});
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -72,12 +72,14 @@
  * Starts a router and some endpoints.
  * @param wrapStore - Wraps the store for the router, for example to inject faults.
  * @param controlAddress - Address of its control server, if a link in front of it has the router's own address.
+ * @param change - Settings other than the usual ones.
  */
 export async function startDirectSystem(
     t: OwningTest,
     endpointCount = 2,
     wrapStore = (store: KeyValueStore): KeyValueService => store,
     controlAddress = ADDRESS,
+    change: Partial<DirectSettings> = {},
 ): Promise<DirectSystem> {
     const store = createKeyValueStore();
     const lines: string[] = [];
@@ -85,7 +87,7 @@
     const endpoints = await Promise.all(
         Array.from({ length: endpointCount }, () => startEndpointStandin((seen, socket) => socket.destroy())),
     );
-    const settings = buildSettings(ADDRESS, await findFreePorts(5));
+    const settings = { ...buildSettings(ADDRESS, await findFreePorts(5)), ...change };
     settings.listen.control.address = controlAddress;
     await writeDocument(1);
     for (const index of endpoints.keys()) {
@@ -140,6 +142,7 @@
  * Starts a second router of a system, on the same ports of another loopback address.
  * @param service - Store that this router uses.
  * @param controlAddress - Address of its control server, if a link in front of it has the router's own address.
+ * @param change - Settings other than the usual ones.
  */
 export async function startSecondRouter(
     t: OwningTest,
@@ -147,13 +150,14 @@
     address: string,
     service: KeyValueService,
     controlAddress = address,
+    change: Partial<DirectSettings> = {},
 ): Promise<DirectSystem> {
     const lines: string[] = [];
     const logger = createLogger("r2", { writeLine: line => lines.push(line), flush: () => Promise.resolve() });
     const { listen, newsPort } = system.settings;
     const ports = [listen.callers, listen.readiness, listen.control, listen.metrics].map(place => place?.port ?? 0);
     const seeds = [{ address: system.address, port: listen.control.port }];
-    const settings: DirectSettings = { ...buildSettings(address, [...ports, newsPort]), host: "r2", seeds };
+    const settings: DirectSettings = { ...buildSettings(address, [...ports, newsPort]), host: "r2", seeds, ...change };
     settings.listen.control.address = controlAddress;
     const platform = { service, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
     const router = await startDirectRouter(settings, platform, logger);
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -67,6 +67,7 @@
     });
     const holder = createRouteIndexHolder(() => undefined);
     const knowledge = createEndpointKnowledge();
+    const evacuated: string[] = [];
     if (ownRevision > 0) {
         knowledge.recordPosition({ era: ERA, revision: ownRevision }, ownAgeMs);
     }
@@ -81,12 +82,13 @@
         ownZone: "a",
         applyMs: 2_000,
         knowledge,
+        evacuations: { mergeReport: report => evacuated.push(...report.zones) },
         documentKnowledge: createDocumentKnowledge(() => holder.getVersion()),
         isReadingStore: () => ownAgeMs === PLATFORM_AGE_MS,
         logger: createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() }),
     });
     t.teardown(() => fallback.stop());
-    return { directory, holder, fallback, knowledge };
+    return { directory, holder, fallback, knowledge, evacuated };
 }
 
 function buildMessage(change: Partial<GossipMessage>): GossipMessage {
@@ -103,12 +105,14 @@
         storeEra: ERA,
         endpointRevision: 7,
         endpointAgeMs: 0,
+        evacuations: { zones: ["b"], kept: [], era: ERA, revision: 7, ageMs: 0, eraAgeMs: 0, isPartial: false },
     };
-    const { directory, holder, knowledge } = await startDisconnectedRouter(t, peerSnapshot, 0);
+    const { directory, holder, knowledge, evacuated } = await startDisconnectedRouter(t, peerSnapshot, 0);
     await waitFor(SETTLE_MS);
     t.equal(holder.getVersion(), 4);
     t.equal(directory.listServing("app").length, 1);
     t.equal(knowledge.getPosition().revision, 7);
+    t.strictSame(evacuated.slice(0, 1), ["b"], "before it serves, a router must know what is evacuated");
 });
 
 t.test("a router takes the document of a router of an earlier version, which sends it only as a whole", async t => {
--- a/tests/direct/storeDutyTests.ts
+++ b/tests/direct/storeDutyTests.ts
@@ -13,7 +13,13 @@
 import type { OwningTest } from "../fixtures.js";
 import { type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
 
-const LIMITS = { maxKnowledgeAgeMs: 800, maxDocumentAgeMs: 1_400, maxDocumentBehindMs: 800, maxSilenceMs: 1_500 };
+const LIMITS = {
+    maxKnowledgeAgeMs: 800,
+    maxDocumentAgeMs: 1_400,
+    maxDocumentBehindMs: 800,
+    maxSilenceMs: 1_500,
+    maxEvacuationAgeMs: 3_500,
+};
 /** Bound of the fixture's settings until a leaving endpoint gets no more requests, in milliseconds. */
 const LEAVING_MS = 2_000;
 /** Time until a document must be in force at all routers of the deployments, in milliseconds. */
@@ -36,8 +42,9 @@
     knowledgeAgeMs = 100,
     documentAgeMs = 1_100,
     documentBehindMs = 700,
+    evacuationAgeMs = 1_500,
 ): string[] {
-    const ages = { knowledgeAgeMs, documentAgeMs, documentBehindMs };
+    const ages = { knowledgeAgeMs, documentAgeMs, documentBehindMs, evacuationAgeMs };
     return routers
         .filter(own => isOnStoreDuty({ own, ...ages, ...LIMITS, peers: routers.filter(peer => peer !== own) }))
         .map(({ address }) => address);
@@ -57,6 +64,7 @@
     t.equal(listOnDuty(routers, LIMITS.maxKnowledgeAgeMs).length, 99, "all routers whose list is too old");
     t.equal(listOnDuty(routers, 100, LIMITS.maxDocumentAgeMs).length, 99, "all routers whose document is too old");
     t.equal(listOnDuty(routers, 100, 100, LIMITS.maxDocumentBehindMs).length, 99, "all routers that get no news");
+    t.equal(listOnDuty(routers, 100, 100, 0, LIMITS.maxEvacuationAgeMs).length, 99, "all with old evacuations");
     t.end();
 });
 
