Cold endpoints get no more requests than they stand, summed over all routers

Cause: each router chose an endpoint that had just started, as it was empty, so that all routers sent to it at once. Change: src/direct/cold knows which endpoints are cold, by their entries, answers, starts and failed connections. A router sends a cold endpoint its share of the bound only: a decision without messages, from a hash order of the known routers (src/scheduling/coldAllowance.ts). A router that may not know all of them ranks itself as low as the unknown ones may put it. The room is taken at the moment of the send; a request that finds none chooses again, or waits in the admission's queue.

--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -70,6 +70,9 @@
         }
         guard.recordSend();
         const result = await sendToEndpoint(exchange, context, relay, state, next.endpoint);
+        if (result === SendResult.HeldBack) {
+            continue;
+        }
         if (result === SendResult.Answered) {
             guard.recordCompletion();
         }
@@ -105,7 +108,9 @@
     if (open === undefined) {
         const isTimedOut = exchange.isTimedOut && !isFirst;
         return {
-            refusal: isTimedOut ? createTimeoutRefusal(state.mayHaveRun) : createNoCapacityRefusal(state, exchange),
+            refusal: isTimedOut
+                ? createTimeoutRefusal(state.mayHaveRun)
+                : createNoCapacityRefusal(state, exchange, context),
         };
     }
     const late = guard.findRefusal(state);
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -49,6 +49,10 @@
     getDocumentBehindMs(): number;
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
+    /** Lists the addresses of the other routers, also of silent ones; the same object until it changes. */
+    listRouterAddresses(): readonly string[];
+    /** Gets the highest number of routers that another router has lately said it knows; 0 if none did. */
+    getReportedRouterCount(): number;
     /** Gets the time until the other routers know what this one does now, in milliseconds. */
     getSpreadMs(): number;
     /** Tells whether another router was heard from lately. */
@@ -149,7 +153,7 @@
         isDocumentUsable,
         getSnapshot: knownVersion => ({
             document: holder.getVersion() > knownVersion ? holder.getIndex()?.document : undefined,
-            endpoints: directory.listRecords(),
+            endpoints: context.cold.addEntryAges(directory.listRecords(), readMonotonicMs()),
             storeEra: knowledge.getPosition().era,
             endpointRevision: knowledge.getPosition().revision,
             endpointAgeMs: roundAge(knowledge.getAgeMs()),
@@ -161,6 +165,8 @@
         getDocumentAgeMs: () => documentKnowledge.getAgeMs(),
         getDocumentBehindMs: () => documentKnowledge.getBehindMs(),
         getPeakRouterCount: () => gossip.getPeakRouterCount(),
+        listRouterAddresses: () => gossip.listRouterAddresses(),
+        getReportedRouterCount: () => gossip.getReportedRouterCount(),
         getSpreadMs: () => gossip.getSpreadMs(),
         hearsOthers: () => gossip.hasRecent(MAX_PEER_MESSAGE_AGE_MS),
         announceNews: () => gossip.sendNow(),
--- a/src/direct/CrashGuard.ts
+++ b/src/direct/CrashGuard.ts
@@ -83,6 +83,7 @@
         }
         const now = readMonotonicMs();
         context.health.recordUnreachable(endpoint.id, now);
+        context.cold.recordUnreachable(endpoint, now);
         suspects.recordLoss(getDigest(), now);
         context.logger.logEvent(EventId.RequestSuspected, {
             attempt: exchange.id,
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -8,6 +8,7 @@
 } from "../scheduling/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { EndpointCandidates } from "./candidates/index.js";
+import type { ColdEndpoints } from "./cold/index.js";
 import type { TokenCounts } from "./DirectCodec.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
@@ -32,6 +33,8 @@
     notices: EndpointNotices;
     /** Endpoints that turn requests away for a time. */
     pauses: EndpointPauses;
+    /** Endpoints that stand few requests after their start. */
+    cold: ColdEndpoints;
     limiter: SharedRateLimiter;
     retries: SharedRetryBudget;
     suspects: SuspectTable;
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -13,6 +13,8 @@
     recordSettled(settled: SettledDirectExchange): void;
     /** Counts a call to the platform's store. */
     recordStoreCall(operation: string, result: CallResult): void;
+    /** Counts a request that was held back at the moment of its send, as the endpoint is cold. */
+    recordHeldBack(service: string): void;
 }
 
 /** State of the router, read at each scrape. */
@@ -32,6 +34,8 @@
     countRefusedParts(): number;
     /** Counts the endpoints that name a limit on the rate of requests. */
     countLimited(): number;
+    /** Counts the endpoints that stand few requests after their start. */
+    countCold(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
 }
@@ -71,11 +75,16 @@
         "operation",
         "result",
     ]);
+    const heldBack = set.addCounter(
+        { name: "auburnpass_sends_held_back_total", help: "Sends that waited because the endpoint is cold" },
+        ["service"],
+    );
     addStateGauges(set, state);
     return {
         set,
         recordSettled,
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
+        recordHeldBack: service => heldBack.addAmount({ service }),
     };
 
     function recordSettled(settled: SettledDirectExchange): void {
@@ -118,6 +127,9 @@
     set.addGauge({ name: "auburnpass_limited_endpoints", help: "Endpoints that name a limit on requests" }, () =>
         state.countLimited(),
     );
+    set.addGauge({ name: "auburnpass_cold_endpoints", help: "Endpoints that are cold after their start" }, () =>
+        state.countCold(),
+    );
     set.addGauge(
         { name: "auburnpass_store_age_seconds", help: "Time since the store last confirmed the endpoints" },
         () => state.getStoreAgeMs() / MS_PER_SECOND,
--- a/src/direct/EndpointCall.ts
+++ b/src/direct/EndpointCall.ts
@@ -18,6 +18,8 @@
     body: Buffer;
     /** Identifier of the caller's attempt, which the response must echo. */
     attemptId: string;
+    /** Called when the connection is open and the request is being written. */
+    onConnected?: () => void;
 }
 
 /** Reason why a call to an endpoint has no usable response. */
@@ -65,7 +67,8 @@
  * 1 s after which a lost SYN is sent again.
  */
 export const CONNECT_TIMEOUT_MS = 400;
-const STATUS_MISDIRECTED = 421;
+/** Status with which an endpoint turns away a request that is meant for another one. */
+export const STATUS_MISDIRECTED = 421;
 const STATUS_SUCCESS_FROM = 200;
 const STATUS_SUCCESS_TO = 299;
 
@@ -112,6 +115,7 @@
         limitAnswerHead(call.request, socket);
         socket.once("connect", () => {
             isConnected = true;
+            request.onConnected?.();
             clearTimeout(connectTimer);
         });
     });
--- a/src/direct/EndpointDirectory.ts
+++ b/src/direct/EndpointDirectory.ts
@@ -47,6 +47,11 @@
 export interface EndpointDirectoryOptions {
     /** Called on each change; the source is `platform` or a peer's address. */
     onChange: (change: DirectoryChange, record: EndpointRecord, source: string) => void;
+    /**
+     * Called with each entry that is taken in and the one that it replaces.
+     * @param isWritten - Whether the entry was written just now, and not only listed.
+     */
+    onRecord?: (record: EndpointRecord, previous: EndpointRecord | undefined, isWritten: boolean) => void;
     /** Time after the store has recovered for which lapsed entries are kept, in milliseconds. */
     lapseGraceMs: number;
     /** Time after which the entry of a dead endpoint is gone from the store, in milliseconds. */
@@ -84,7 +89,7 @@
         applyListing,
         applyRecord(record) {
             departed.recordWritten(record);
-            applyRecord(record);
+            applyRecord(record, PLATFORM_SOURCE, true);
         },
         removeRecord: id => removeRecord(id),
         setEra(era) {
@@ -108,9 +113,10 @@
         records.forEach(record => applyRecord(record, source));
     }
 
-    function applyRecord(record: EndpointRecord, source = PLATFORM_SOURCE): void {
+    function applyRecord(record: EndpointRecord, source = PLATFORM_SOURCE, isWritten = false): void {
         departed.recordListed(record);
         const previous = entries.get(record.id);
+        options.onRecord?.(record, previous?.record, isWritten);
         const hash = computeRecordHash(record);
         removeFromDigest(previous);
         digest = (digest + hash) % HASH_RANGE;
@@ -204,8 +210,9 @@
 }
 
 function computeRecordHash(record: EndpointRecord): number {
-    const { id, service, host, port, zone, slots, isLeaving, bornAt, group } = record;
+    const { id, service, host, port, zone, slots, isLeaving, bornAt, group, coldLeftMs = 0 } = record;
     const fields = [id, service, host, port, zone, slots, isLeaving, bornAt, group?.name, group?.rank, group?.size];
-    const text = JSON.stringify(fields);
+    // Routers of earlier versions leave out coldness, so the digest of an entry that doesn't tell it stays the same.
+    const text = JSON.stringify(coldLeftMs > 0 ? [...fields, coldLeftMs] : fields);
     return computeHash32(text) * LOW_HASH_RANGE + (computeHash32(`${text}#`) % LOW_HASH_RANGE);
 }
--- a/src/direct/EndpointNotices.ts
+++ b/src/direct/EndpointNotices.ts
@@ -16,6 +16,8 @@
     hasTaken: boolean;
     /** Time for which it wants no request from this router, in milliseconds; undefined if it doesn't say. */
     pauseMs: number | undefined;
+    /** Time for which it is still cold after its start, in milliseconds; undefined if it doesn't say. */
+    coldMs?: number | undefined;
 }
 
 /** Remembers what endpoints say of themselves in their answers, and lets the choice of an endpoint obey it. */
@@ -61,6 +63,7 @@
         isLeaving: getHeader(headers, names.leaving) === "1",
         hasTaken: status !== STATUS_UNAVAILABLE,
         pauseMs: pauseSeconds === undefined ? undefined : pauseSeconds * MS_PER_SECOND,
+        coldMs: readNumber(headers, names.cold),
     };
 }
 
--- a/src/direct/EndpointRecord.ts
+++ b/src/direct/EndpointRecord.ts
@@ -12,8 +12,10 @@
     isLeaving: boolean;
     /** Wall-clock start time of the endpoint, in milliseconds; 0 if it is not registered. */
     bornAt: number;
-    /** Position in a group whose ranks run in lock-step; undefined for an endpoint on its own. */
     /** Time for which it is still cold after its start, as its entry says, in milliseconds; absent if it doesn't. */
     coldLeftMs?: number | undefined;
+    /** Time since another router read that from the entry, in milliseconds; absent if this router read it from the store. */
+    coldAgeMs?: number | undefined;
+    /** Position in a group whose ranks run in lock-step; undefined for an endpoint on its own. */
     group: { name: string; rank: number; size: number } | undefined;
 }
--- a/src/direct/HeaderNames.ts
+++ b/src/direct/HeaderNames.ts
@@ -20,6 +20,8 @@
     limit: string;
     /** States that the endpoint is leaving. */
     leaving: string;
+    /** Time for which the endpoint is still cold after its start, in milliseconds. */
+    cold: string;
     /** Signature of the endpoint that sent the response. */
     signature: string;
 }
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -2,14 +2,15 @@
 import { computeHashFraction } from "../utils/digest.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
-import type { EndpointCandidates, RequestDemand } from "./candidates/index.js";
+import { type EndpointCandidates, ExclusionReason, type RequestDemand } from "./candidates/index.js";
+import type { ColdEndpoints } from "./cold/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
 
 /**
  * Queues requests while the load of a service's endpoints is limited, or while all endpoints are at the rates that they have
- * named, and admits the most urgent ones first.
+ * named or that cold ones stand, and admits the most urgent ones first.
  */
 export interface RequestAdmission {
     /**
@@ -39,6 +40,7 @@
     pace: ConcurrencyLimiter;
     limiter: SharedRateLimiter;
     candidates: EndpointCandidates;
+    cold: Pick<ColdEndpoints, "estimateTurns" | "hasCold">;
 }
 
 interface QueuedRequest {
@@ -65,7 +67,7 @@
  * @param options - Endpoints, their load and the limit on it.
  */
 export function createRequestAdmission(options: RequestAdmissionOptions): RequestAdmission {
-    const { directory, load, pace, limiter, candidates } = options;
+    const { directory, load, pace, limiter, candidates, cold } = options;
     const queues = new Map<string, QueuedRequest[]>();
     const polledServices = new Set<string>();
     const averageFirstEventMs = new Map<string, number>();
@@ -84,7 +86,7 @@
         const untried = listUntried(service, exchange.demand, tried, now);
         if (!needsFreeSlot || hasFreeSlot) {
             const open = limiter.drawOpen(untried, service, 1, now);
-            if (open.length > 0 || untried.length === 0) {
+            if (open.length > 0 || !hasWaitable(service, exchange.demand, tried, untried, now)) {
                 return Promise.resolve(open);
             }
         }
@@ -93,7 +95,8 @@
             Math.max(0, route.targetMs - getAverageFirstEventMs(service)),
         );
         const urgency = getUrgency(exchange);
-        if (!hasTurnInTime(service, untried, urgency, leftMs)) {
+        const heldBack = listHeldBack(service, exchange.demand, tried, now);
+        if (!hasTurnInTime(service, untried, heldBack, urgency, leftMs)) {
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => {
@@ -117,12 +120,14 @@
     function hasTurnInTime(
         service: string,
         untried: readonly EndpointRecord[],
+        heldBack: readonly EndpointRecord[],
         urgency: number,
         leftMs: number,
     ): boolean {
+        const now = readMonotonicMs();
         const ahead = (queues.get(service) ?? []).filter(other => other.urgency <= urgency).length;
-        const turns = limiter.estimateTurns(untried, service, leftMs, readMonotonicMs());
-        return untried.length === 0 || computeTurnChance(turns, ahead) >= MIN_TURN_CHANCE;
+        const turns = limiter.estimateTurns(untried, service, leftMs, now) + cold.estimateTurns(heldBack, leftMs, now);
+        return untried.length + heldBack.length === 0 || computeTurnChance(turns, ahead) >= MIN_TURN_CHANCE;
     }
 
     /** Lists the endpoints of a service that accept requests, without those that were tried. */
@@ -135,6 +140,34 @@
         return candidates.listCandidates(service, demand, now).filter(({ id }) => !tried.has(id));
     }
 
+    /** Lists the endpoints that a request may be sent to once they stand another one. */
+    function listHeldBack(
+        service: string,
+        demand: RequestDemand,
+        tried: ReadonlySet<string>,
+        now: number,
+    ): EndpointRecord[] {
+        if (!cold.hasCold(now)) {
+            return [];
+        }
+        return candidates
+            .assessEndpoints(service, demand, now)
+            .filter(({ reasons }) => reasons.length === 1 && reasons[0] === ExclusionReason.Cold)
+            .map(({ endpoint }) => endpoint)
+            .filter(({ id }) => !tried.has(id));
+    }
+
+    /** Tells whether an endpoint may become open to a request that finds none open now. */
+    function hasWaitable(
+        service: string,
+        demand: RequestDemand,
+        tried: ReadonlySet<string>,
+        untried: readonly EndpointRecord[],
+        now: number,
+    ): boolean {
+        return untried.length > 0 || listHeldBack(service, demand, tried, now).length > 0;
+    }
+
     function startPolling(service: string): void {
         if (polledServices.has(service)) {
             return;
@@ -159,7 +192,7 @@
         const now = readMonotonicMs();
         const untried = listUntried(service, next.exchange.demand, next.tried, now);
         const open = limiter.drawOpen(untried, service, queued.length, now);
-        if (open.length === 0 && untried.length > 0) {
+        if (open.length === 0 && hasWaitable(service, next.exchange.demand, next.tried, untried, now)) {
             return;
         }
         next.finish(open);
--- a/src/direct/RetryState.ts
+++ b/src/direct/RetryState.ts
@@ -5,6 +5,8 @@
     Answered = "answered",
     /** No connection was made, so nothing was sent. */
     Unreachable = "unreachable",
+    /** Nothing was sent, as the endpoint is cold and this router's share of what it stands is used up. */
+    HeldBack = "held-back",
     /** The endpoint stated that it did not run the request. */
     NotRun = "not-run",
     /** The request may have run, but no complete response was received. */
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -101,10 +101,14 @@
  * the target time anyway, so it is delayed until the load peak is more likely to be over.
  * @param state - State of the request.
  * @param exchange - Exchange that waited.
+ * @param context - Shared parts of the router.
  */
-export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange): Refusal {
-    const delayMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - readMonotonicMs()) * RETRY_DELAY_FRACTION);
-    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs);
+export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
+    const now = readMonotonicMs();
+    const delayMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - now) * RETRY_DELAY_FRACTION);
+    const isOnlyCold = context.candidates.listCandidates(exchange.service, exchange.demand, now).length === 0;
+    const detail = isOnlyCold ? "all endpoints are cold and at their rate" : "no endpoint had free capacity in time";
+    return createRefusal(state, Cause.Overload, detail, delayMs);
 }
 
 /**
--- a/src/direct/sendToEndpoint.ts
+++ b/src/direct/sendToEndpoint.ts
@@ -3,7 +3,13 @@
 import { type RetryState, SendResult } from "./RetryState.js";
 import type { DirectContext } from "./DirectContext.js";
 import type { RoutedExchange } from "./DirectExchange.js";
-import { CallFailure, type FailedCall, type EndpointResponse, openEndpointCall } from "./EndpointCall.js";
+import {
+    CallFailure,
+    type FailedCall,
+    type EndpointResponse,
+    STATUS_MISDIRECTED,
+    openEndpointCall,
+} from "./EndpointCall.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import { canRetry } from "./attemptRefusals.js";
 import { buildEndpointHeaders } from "./buildEndpointHeaders.js";
@@ -27,6 +33,11 @@
     endpoint: EndpointRecord,
 ): Promise<SendResult> {
     const sentAt = readMonotonicMs();
+    // Several requests may have chosen the endpoint in one turn of the event loop, so its room is taken only here.
+    const ticket = context.cold.takeSend(endpoint, sentAt);
+    if (ticket === undefined) {
+        return SendResult.HeldBack;
+    }
     const knownAgeMs = Math.round(context.getEndpointAgeMs());
     context.load.startRequest(endpoint.id);
     context.limiter.recordSend(endpoint.id, sentAt);
@@ -43,6 +54,7 @@
                 headers: buildEndpointHeaders(exchange, context.names, endpoint, relay.buildResumeHeaders()),
                 body: exchange.body,
                 attemptId: exchange.id,
+                onConnected: () => ticket.recordWrite(readMonotonicMs()),
             },
             context.names,
             exchange.abortController.signal,
@@ -53,6 +65,10 @@
             return handleFailedCall(call.failed, endpoint, context, state);
         }
         context.notices.recordNotice(endpoint, call.response.notice, readMonotonicMs());
+        context.cold.recordAnswer(endpoint, call.response.notice.coldMs, readMonotonicMs());
+        if (call.response.status === STATUS_MISDIRECTED) {
+            ticket.release();
+        }
         const end = await handleResponse(call.response, exchange, context, relay, state, endpoint);
         kind = end;
         result = `${end} ${call.response.status} ${describeFraming(call.response)}`;
@@ -61,6 +77,7 @@
         context.load.endRequest(endpoint.id);
         context.admission.recordRequestEnd(exchange.service);
         const now = readMonotonicMs();
+        ticket.end(now);
         recordFirstEventTime(exchange, context, sentAt);
         exchange.attempts.push({
             endpoint: endpoint.id,
@@ -85,6 +102,7 @@
         if (failed.kind === CallFailure.Unreachable) {
             context.outages.recordRejection(endpoint.service, endpoint.id, readMonotonicMs());
             context.health.recordUnreachable(endpoint.id, readMonotonicMs());
+            context.cold.recordUnreachable(endpoint, readMonotonicMs());
         }
         return SendResult.Unreachable;
     }
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -19,9 +19,10 @@
 import { type DirectListeners, openListeners } from "./DirectListeners.js";
 import { type DirectMetrics, createDirectMetrics } from "./DirectMetrics.js";
 import type { DirectSettings } from "./DirectSettings.js";
-import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
+import { DirectoryChange, type EndpointDirectory, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointNotices } from "./EndpointNotices.js";
 import { createEndpointCandidates, createLeavingRule, createPauseRule } from "./candidates/index.js";
+import { createColdEndpoints, createColdRule } from "./cold/index.js";
 import { createEndpointPauses } from "./EndpointPauses.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -29,6 +30,7 @@
 import { type ClusterView, startClusterView } from "./ClusterView.js";
 import { createLoadTracker } from "./LoadTracker.js";
 import { createSharedRetryBudget } from "./SharedRetryBudget.js";
+import type { ColdBehavior } from "./RoutingDocument.js";
 import type { RouteIndex } from "./RouteIndex.js";
 import { createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
@@ -76,6 +78,10 @@
         logger.logEvent(EventId.DocumentApplied, { version, source, routes: routes.length, behindMs });
     });
     const context = createContext(settings, platform, logger, {
+        getColdBehavior: service => holder.getIndex()?.findService(service)?.cold,
+        recordHeldBack: service => metrics.recordHeldBack(service),
+        listRouterAddresses: () => knowledge.listRouterAddresses(),
+        getReportedRouterCount: () => knowledge.getReportedRouterCount(),
         getPeakRouterCount: () => knowledge.getPeakRouterCount(),
         getEndpointAgeMs: () => knowledge.getEndpointAgeMs(),
         getStoreUptimeMs: () => knowledge.getStoreUptimeMs(),
@@ -89,6 +95,7 @@
         countEndpoints: () => context.directory.countRecords(),
         countRefusedParts: () => context.quarantine.countRefused(),
         countLimited: () => context.limiter.countLimited(),
+        countCold: () => context.cold.countCold(readMonotonicMs()),
         countRouters: () => knowledge.getPeakRouterCount(),
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
@@ -135,19 +142,48 @@
     }
 }
 
+/** What the parts of the context learn from the rest of the router, which starts after them. */
+interface ContextKnowledge extends Pick<
+    ClusterView,
+    | "getPeakRouterCount"
+    | "getEndpointAgeMs"
+    | "getStoreUptimeMs"
+    | "announceNews"
+    | "getSpreadMs"
+    | "hearsOthers"
+    | "listRouterAddresses"
+    | "getReportedRouterCount"
+> {
+    /** Gets what the document says of a service's cold endpoints; undefined if they are never cold. */
+    getColdBehavior(service: string): ColdBehavior | undefined;
+    /** Counts a request that was held back at the moment of its send. */
+    recordHeldBack(service: string): void;
+}
+
 function createContext(
     settings: DirectSettings,
     { names, codec }: Pick<DirectPlatform, "names" | "codec">,
     logger: Logger,
-    knowledge: Pick<
-        ClusterView,
-        "getPeakRouterCount" | "getEndpointAgeMs" | "getStoreUptimeMs" | "announceNews" | "getSpreadMs" | "hearsOthers"
-    >,
+    knowledge: ContextKnowledge,
 ): DirectContext {
     const health = createEndpointHealth();
     const { lapseGraceMs, entryLifetimeMs } = settings;
-    const directory = createEndpointDirectory({
+    const cold = createColdEndpoints({
+        settings: settings.cold,
+        own: settings.address,
+        getBehavior: knowledge.getColdBehavior,
+        listRecords: () => directory.listRecords(),
+        listRouters: knowledge.listRouterAddresses,
+        getReportedRouterCount: knowledge.getReportedRouterCount,
+        hearsOthers: knowledge.hearsOthers,
+        onHeldBack: knowledge.recordHeldBack,
+        readWallClock: Date.now,
+        logger,
+        startedAt: readMonotonicMs(),
+    });
+    const directory: EndpointDirectory = createEndpointDirectory({
         onChange: recordChange,
+        onRecord: (record, previous, isWritten) => cold.recordEntry(record, previous, isWritten, readMonotonicMs()),
         lapseGraceMs,
         entryLifetimeMs,
         getStoreUptimeMs: knowledge.getStoreUptimeMs,
@@ -162,7 +198,8 @@
     });
     const pauses = createEndpointPauses();
     const notices = createEndpointNotices(limiter, pauses, logger);
-    const candidates = createEndpointCandidates(directory, [createLeavingRule(notices), createPauseRule(pauses)]);
+    const rules = [createLeavingRule(notices), createPauseRule(pauses), createColdRule(cold)];
+    const candidates = createEndpointCandidates(directory, rules);
     return {
         host: settings.host,
         zone: settings.zone,
@@ -171,7 +208,8 @@
         candidates,
         load,
         pace,
-        admission: createRequestAdmission({ directory, load, pace, limiter, candidates }),
+        admission: createRequestAdmission({ directory, load, pace, limiter, candidates, cold }),
+        cold,
         health,
         limiter,
         notices,
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -4,6 +4,7 @@
 import { limitReportSchema, partReportSchema } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
+import { createRouterMembers } from "./RouterMembers.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
 
 const messageSchema = z.object({
@@ -46,6 +47,8 @@
     routers: z.array(z.ipv4()),
     /** Zones of these routers, in the same order. */
     routerZones: z.array(z.string()).default([]),
+    /** Number of routers that the sender knows, itself included; 0 from routers of earlier versions. */
+    routerCount: z.number().int().default(0),
     isLeaving: z.boolean(),
 });
 
@@ -53,7 +56,7 @@
 export type GossipMessage = z.infer<typeof messageSchema>;
 
 /** State that a router adds to its messages. */
-export type GossipState = Omit<GossipMessage, "address" | "routers" | "routerZones">;
+export type GossipState = Omit<GossipMessage, "address" | "routers" | "routerZones" | "routerCount">;
 
 /** Options of the gossip. */
 export interface PeerGossipOptions {
@@ -88,6 +91,13 @@
     hasRecent(withinMs: number): boolean;
     /** Gets the highest number of routers known at one time, this one included. */
     getPeakRouterCount(): number;
+    /**
+     * Lists the addresses of the other routers, also of silent ones that may go on to send requests; the same object until it
+     * changes.
+     */
+    listRouterAddresses(): readonly string[];
+    /** Gets the highest number of routers that another router has lately said it knows; 0 if none did. */
+    getReportedRouterCount(): number;
     /** Gets the time until all known routers have received a periodic message with what this one does now, in milliseconds. */
     getSpreadMs(): number;
     stop(): Promise<void>;
@@ -135,6 +145,7 @@
     const seeds = new Set(options.seeds.filter(seed => seed !== options.address));
     const known = new Map<string, KnownRouter>();
     const lastMessages = new Map<string, ReceivedMessage>();
+    const members = createRouterMembers();
     let peakRouterCount = 1;
     let nextSampleStart = 0;
     let stopping: Promise<void> | undefined;
@@ -159,6 +170,8 @@
             return [...lastMessages.values()].some(({ receivedAt }) => now - receivedAt <= withinMs);
         },
         getPeakRouterCount: () => peakRouterCount,
+        listRouterAddresses: () => members.listAddresses(readMonotonicMs()),
+        getReportedRouterCount: () => members.getReportedCount(readMonotonicMs()),
         getSpreadMs,
         stop() {
             stopping ??= loop.stop().then(() => void socket.close());
@@ -228,6 +241,7 @@
             address: options.address,
             routers,
             routerZones: routers.map(address => known.get(address)?.zone ?? ""),
+            routerCount: members.listAddresses(readMonotonicMs()).length + 1,
         };
         const bytes = encodeMessage(message);
         if (bytes.length > MAX_DATAGRAM_BYTES) {
@@ -272,6 +286,10 @@
         known.set(sender, { zone: message.zone, seenAt: now });
         lastMessages.set(sender, { message, receivedAt: now });
         message.routers.forEach((address, index) => addRouter(address, message.routerZones[index] ?? ""));
+        members.recordMessage(sender, message.routerCount, message.isLeaving, now);
+        message.routers
+            .filter(address => address !== options.address)
+            .forEach(address => members.recordMention(address, now));
         peakRouterCount = Math.max(peakRouterCount, known.size + 1);
         options.onMessage(message);
     }
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,1 +1,2 @@
 export * from "./PeerGossip.js";
+export * from "./RouterMembers.js";
--- /dev/null
+++ b/src/scheduling/coldAllowance.ts
@@ -0,0 +1,77 @@
+import { computeHash32, mixHash32 } from "../utils/digest.js";
+
+/** What a service and the settings say of cold endpoints. */
+export interface ColdRate {
+    /** Requests per second that a cold endpoint handles. */
+    perSecond: number;
+    /** Factor on that rate which an endpoint stands in any one second. */
+    overshoot: number;
+    /** Requests that it stands beyond that. */
+    slack: number;
+}
+
+/** What a router knows of the routers that may send to the same endpoints. */
+export interface RouterKnowledge {
+    /** Address of this router. */
+    own: string;
+    /** Addresses of the other known routers. */
+    others: readonly string[];
+    /** Number of routers that may exist beside the known ones. */
+    unknownCount: number;
+}
+
+/** Share of the bound that the routers divide; the rest covers short disagreement about which routers there are. */
+const DIVIDED_SHARE = 0.95;
+/** Share of the bound that is divided at least, where it is so small that rounding would take more. */
+const MIN_DIVIDED_SHARE = 0.9;
+/** Number of standard deviations by which more unknown routers than expected may rank before this one. */
+const RANK_DEVIATIONS = 5;
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Computes the number of requests that a cold endpoint may get from all routers together in any second.
+ * @param rate - Rate of its service and the bound on exceeding it.
+ */
+export function computeColdBound(rate: ColdRate): number {
+    return Math.floor(rate.perSecond * rate.overshoot + rate.slack);
+}
+
+/**
+ * Computes the number of requests that one router may send to a cold endpoint in any second. Each router ranks all routers by a hash
+ * of router and endpoint: a router whose rank is below the number of requests that are left after an equal division gets one more.
+ * Routers that know the same routers divide the bound exactly. One that may not know all of them ranks itself as low as the unknown
+ * ones may put it, so that the sum stays within the bound whatever the others know.
+ * @param endpoint - Identifier of the endpoint.
+ * @param bound - Requests that the endpoint may get from all routers in any second.
+ * @param knowledge - What this router knows of the routers.
+ */
+export function computeColdAllowance(endpoint: string, bound: number, knowledge: RouterKnowledge): number {
+    const { own, others, unknownCount } = knowledge;
+    const routers = others.length + 1 + unknownCount;
+    const divided = Math.max(Math.ceil(bound * MIN_DIVIDED_SHARE), Math.floor(bound * DIVIDED_SHARE));
+    const equal = Math.floor(divided / routers);
+    const remainder = divided - equal * routers;
+    if (remainder === 0) {
+        return equal;
+    }
+    const endpointHash = computeHash32(endpoint);
+    const ownPlace = computePlace(own, endpointHash);
+    let rank = 0;
+    for (const other of others) {
+        const place = computePlace(other, endpointHash);
+        rank += place < ownPlace || (place === ownPlace && other < own) ? 1 : 0;
+    }
+    return equal + (rank + estimateUnknownBefore(ownPlace / HASH_RANGE, unknownCount) < remainder ? 1 : 0);
+}
+
+/** The place of a router in the order for an endpoint; the mix is one-to-one, so only equal hashes of routers collide. */
+function computePlace(router: string, endpointHash: number): number {
+    return mixHash32((computeHash32(router) ^ endpointHash) >>> 0);
+}
+
+/** Estimates how many of the unknown routers may come before a place, given as a fraction, but for a rare chance. */
+function estimateUnknownBefore(place: number, unknownCount: number): number {
+    const expected = unknownCount * place;
+    const deviation = Math.sqrt(expected * (1 - place));
+    return Math.min(unknownCount, Math.ceil(expected + RANK_DEVIATIONS * deviation));
+}
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -13,3 +13,4 @@
 export * from "./ConcurrencyLimiter.js";
 export * from "./SharedRateLimiter.js";
 export * from "./turnChance.js";
+export * from "./coldAllowance.js";
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -36,7 +36,8 @@
     const pauses = createEndpointPauses();
     const notices = createEndpointNotices(limiter, pauses, logger);
     const candidates = createEndpointCandidates(directory, [createLeavingRule(notices), createPauseRule(pauses)]);
-    const admission = createRequestAdmission({ directory, load, pace, limiter, candidates });
+    const cold = { estimateTurns: () => 0, hasCold: () => false };
+    const admission = createRequestAdmission({ directory, load, pace, limiter, candidates, cold });
     return {
         load,
         limiter,
