--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,2 +1,3 @@
 export * from "./PeerGossip.js";
 export * from "./evacuationReport.js";
+export * from "./RouterMembers.js";
