Streams of engine groups wait for the end of an outage

During the outage of a group every stream was refused with the longest honoured delay, came back to the outage or its surge, and was refused again. With the setting outageReturn, a router holds such streams while their callers wait, refuses the others with the delay that is expected to bring them back after the end, tells the other routers of the end at once, and lets waiting streams in by turns. Streams broken by the outage go on after it. Without the setting nothing changes.

--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -1,4 +1,4 @@
-import { Cause, type Refusal } from "../protocol/index.js";
+import type { Refusal } from "../protocol/index.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type CrashGuard, createCrashGuard } from "./CrashGuard.js";
 import { type RetryState, SendResult } from "./RetryState.js";
@@ -9,11 +9,13 @@
     checkRetry,
     createNoCapacityRefusal,
     createNoEndpointRefusal,
-    createRefusal,
     createTimeoutRefusal,
+    createOutageRefusal,
     prolongRetryDelay,
+    takeRetry,
 } from "./attemptRefusals.js";
 import { chooseEndpoint } from "./chooseEndpoint.js";
+import type { OutageGate } from "./outage/index.js";
 import type { ResponseRelay } from "./relay/ResponseRelay.js";
 import { sendToEndpoint } from "./sendToEndpoint.js";
 
@@ -35,33 +37,47 @@
         connectionFailures: 0,
         mayHaveRun: false,
         lastFailure: undefined,
+        isRetryOwed: false,
     };
     const guard = createCrashGuard(exchange, context);
     const crashRefusal = guard.findRefusal(state);
     if (crashRefusal !== undefined) {
         return crashRefusal;
     }
+    const gate = context.outageGate?.isResponsible(exchange) === true ? context.outageGate : undefined;
     const now = readMonotonicMs();
-    const outageDelayMs = context.outages.checkRequest(exchange.service, exchange.deadlineAt - now, now);
+    const outageDelayMs =
+        gate === undefined ? context.outages.checkRequest(exchange.service, exchange.deadlineAt - now, now) : undefined;
     if (outageDelayMs !== undefined) {
-        return createRefusal(state, Cause.NoEndpoint, "no endpoint of the service takes work", outageDelayMs);
+        return createOutageRefusal(state, outageDelayMs);
     }
     try {
-        return await repeatAttempts(exchange, context, relay, state, guard);
+        return await repeatAttempts(exchange, context, relay, state, { guard, gate });
     } finally {
         guard.recordEnd();
     }
 }
 
+/** What watches the attempts of a request. */
+interface AttemptGuards {
+    guard: CrashGuard;
+    /** Holds the request during an outage; undefined if it is refused. */
+    gate: OutageGate | undefined;
+}
+
 async function repeatAttempts(
     exchange: RoutedExchange,
     context: DirectContext,
     relay: ResponseRelay,
     state: RetryState,
-    guard: CrashGuard,
+    { guard, gate }: AttemptGuards,
 ): Promise<Refusal | undefined> {
     for (;;) {
-        const next = await findEndpointOrRefusal(exchange, context, state, guard);
+        const turn = await waitForTurn(exchange, context, state, gate);
+        if (exchange.isCallerGone) {
+            return undefined;
+        }
+        const next = turn === undefined ? await findEndpointOrRefusal(exchange, context, state, guard) : turn;
         if (next === undefined) {
             return undefined;
         }
@@ -72,20 +88,47 @@
         const result = await sendToEndpoint(exchange, context, relay, state, next.endpoint);
         if (result === SendResult.Answered) {
             guard.recordCompletion();
+            gate?.recordAnswer(exchange);
         }
         if (result === SendResult.Answered || exchange.isCallerGone) {
             return undefined;
         }
         if (result === SendResult.Incomplete) {
-            await guard.recordLoss(next.endpoint, state);
+            const isOver = exchange.abortController.signal.aborted;
+            const held = isOver ? undefined : gate?.recordLoss(exchange, next.endpoint);
+            await Promise.all([guard.recordLoss(next.endpoint, state), held]);
         }
         const refusal = checkRetry(exchange, context, state, result);
         if (refusal !== undefined) {
-            return relay.sendBufferedFailure() ? undefined : prolongRetryDelay(refusal, exchange, context);
+            return relay.sendBufferedFailure() ? undefined : prolongRetryDelay(refusal, exchange, context, state);
         }
     }
 }
 
+/**
+ * Waits for the end of an outage.
+ * @returns Undefined if the request may be sent, or its caller has left; a refusal otherwise.
+ */
+async function waitForTurn(
+    exchange: RoutedExchange,
+    context: DirectContext,
+    state: RetryState,
+    gate: OutageGate | undefined,
+): Promise<{ refusal: Refusal } | undefined> {
+    const action = await gate?.waitForTurn(exchange, state);
+    if (exchange.isCallerGone) {
+        return undefined;
+    }
+    if (gate === undefined || action?.isSent === true) {
+        const refusal = state.isRetryOwed ? takeRetry(exchange, context, state) : undefined;
+        return refusal && { refusal };
+    }
+    return {
+        refusal:
+            action === undefined ? createTimeoutRefusal(state.mayHaveRun) : createOutageRefusal(state, action.delayMs),
+    };
+}
+
 /** Chooses the endpoint for the next send, or returns a refusal if there is none; undefined if the caller has left. */
 async function findEndpointOrRefusal(
     exchange: RoutedExchange,
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -15,6 +15,7 @@
 import type { EndpointPauses } from "./EndpointPauses.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadTracker } from "./LoadTracker.js";
+import type { OutageGate } from "./outage/index.js";
 import type { SharedRetryBudget } from "./SharedRetryBudget.js";
 import type { RequestAdmission } from "./RequestAdmission.js";
 
@@ -37,6 +38,8 @@
     suspects: SuspectTable;
     quarantine: PartQuarantine;
     outages: OutageDetector;
+    /** Holds requests during outages; undefined if they are refused. */
+    outageGate: OutageGate | undefined;
     pace: ConcurrencyLimiter;
     admission: RequestAdmission;
     logger: Logger;
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -57,6 +57,8 @@
     longestPauseMs: number;
     /** Monotonic time of the first byte to the caller, in milliseconds. */
     firstByteAt: number | undefined;
+    /** Monotonic time at which the last event was passed on to the caller, in milliseconds. */
+    lastEventAt: number | undefined;
     /** Why the answer was cut off. */
     failureCause: Cause | undefined;
     /** Moves the deadline forward; a time after the current deadline has no effect. */
@@ -97,6 +99,7 @@
         eventCount: 0,
         longestPauseMs: 0,
         firstByteAt: undefined,
+        lastEventAt: undefined,
         failureCause: undefined,
         shortenDeadline(at) {
             if (at < deadlineAt) {
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -46,6 +46,8 @@
     evacuateMs: z.number().min(1).optional(),
     /** How far the requests to a cold endpoint may exceed the rate that its service names. */
     cold: z.strictObject({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
+    /** Streams of engine groups wait for the end of an outage of their group; absent: they are refused. */
+    outageReturn: z.boolean().optional(),
     /** What this host gives the process; absent fields are unknown. */
     resources: z
         .strictObject({
--- a/src/direct/RetryState.ts
+++ b/src/direct/RetryState.ts
@@ -24,4 +24,6 @@
     /** True once an endpoint may have run the request. */
     mayHaveRun: boolean;
     lastFailure: CallFailure | undefined;
+    /** The next send still has to be taken from the retry budget, as the request waits for the end of an outage first. */
+    isRetryOwed: boolean;
 }
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -53,10 +53,27 @@
             RETRY_DELAY_MS,
         );
     }
-    if (!context.retries.takeRetry(exchange.service)) {
-        return createRefusal(state, Cause.RetryBudgetSpent, "retry budget is spent", RETRY_DELAY_MS);
+    if (context.outageGate?.isResponsible(exchange) === true && context.outageGate.isHolding(exchange)) {
+        // The endpoints reject all sends, so that a retry from the budget would be lost.
+        state.isRetryOwed = true;
+        state.triedEndpoints.clear();
+        return undefined;
     }
-    return undefined;
+    return takeRetry(exchange, context, state);
+}
+
+/**
+ * Takes a retry from the budget.
+ * @param exchange - Exchange that is to be sent again.
+ * @param context - Shared parts of the router.
+ * @param state - State of the request.
+ * @returns Refusal if the budget is spent.
+ */
+export function takeRetry(exchange: RoutedExchange, context: DirectContext, state: RetryState): Refusal | undefined {
+    state.isRetryOwed = false;
+    return context.retries.takeRetry(exchange.service)
+        ? undefined
+        : createRefusal(state, Cause.RetryBudgetSpent, "retry budget is spent", RETRY_DELAY_MS);
 }
 
 /** Gets the cause of a refusal after the maximum number of sends. */
@@ -112,8 +129,18 @@
  * @param refusal - Refusal with the usual delay.
  * @param exchange - Exchange that is refused.
  * @param context - Shared parts of the router.
+ * @param state - State of the request.
  */
-export function prolongRetryDelay(refusal: Refusal, exchange: RoutedExchange, context: DirectContext): Refusal {
+export function prolongRetryDelay(
+    refusal: Refusal,
+    exchange: RoutedExchange,
+    context: DirectContext,
+    state: RetryState,
+): Refusal {
+    if (context.outageGate?.isResponsible(exchange) === true && context.outageGate.isHolding(exchange)) {
+        const plannedMs = context.outageGate.planDelay(exchange, state);
+        return refusal.retryAfterMs === undefined ? refusal : { ...refusal, retryAfterMs: plannedMs };
+    }
     const now = readMonotonicMs();
     const outageDelayMs = context.outages.getRetryDelay(exchange.service, exchange.deadlineAt - now, now);
     return refusal.retryAfterMs === undefined || outageDelayMs === undefined
@@ -121,6 +148,15 @@
         : { ...refusal, retryAfterMs: outageDelayMs };
 }
 
+/**
+ * Creates the refusal of a request whose service takes no requests.
+ * @param state - State of the request.
+ * @param delayMs - Time after which the caller may retry, in milliseconds; undefined if it should not retry.
+ */
+export function createOutageRefusal(state: RetryState, delayMs: number | undefined): Refusal {
+    return createRefusal(state, Cause.NoEndpoint, "no endpoint of the service takes work", delayMs);
+}
+
 /**
  * Creates the refusal of a request that timed out.
  * @param mayHaveRun - Whether an endpoint may have run the request.
--- /dev/null
+++ b/src/direct/outage/index.ts
@@ -0,0 +1,2 @@
+export * from "./OutageGate.js";
+export * from "./outageMetrics.js";
--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -138,6 +138,7 @@
             listener.onPause(now - lastForwardedAt);
         }
         lastForwardedAt = now;
+        exchange.lastEventAt = now;
     }
 
     /** Sends the head of the first endpoint's response; it stays the same if another endpoint continues the stream. */
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -28,6 +28,7 @@
 import type { HeaderNames } from "./HeaderNames.js";
 import { type ClusterView, startClusterView } from "./ClusterView.js";
 import { createLoadTracker } from "./LoadTracker.js";
+import { addOutageGauges, createOutageGate } from "./outage/index.js";
 import { createSharedRetryBudget } from "./SharedRetryBudget.js";
 import type { RouteIndex } from "./RouteIndex.js";
 import { createRouteIndexHolder } from "./RouteIndexHolder.js";
@@ -95,6 +96,9 @@
         getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
         isReadingStore: () => knowledge.isReadingStore(),
     });
+    if (context.outageGate !== undefined) {
+        addOutageGauges(metrics.set, context.outageGate);
+    }
     const service = createCountedService(platform.service, metrics.recordStoreCall);
     const callers = buildCallerServer(context, getServedIndex, metrics, () => knowledge.isDocumentStale());
     const knowledge: ClusterView = startClusterView({ settings, service, codec, holder, context, logger });
@@ -122,6 +126,7 @@
         const startedAt = readMonotonicMs();
         isDraining = true;
         callers.startDraining();
+        context.outageGate?.startDraining(settings.drain.graceMs);
         knowledge.announceLeaving();
         logger.logEvent(EventId.ProcessDraining, { concurrent: callers.countActiveRequests() });
         await waitFor(settings.drain.noticeMs);
@@ -163,6 +168,20 @@
     const pauses = createEndpointPauses();
     const notices = createEndpointNotices(limiter, pauses, logger);
     const candidates = createEndpointCandidates(directory, [createLeavingRule(notices), createPauseRule(pauses)]);
+    const outageGate =
+        settings.outageReturn === true
+            ? createOutageGate({
+                  directory,
+                  candidates,
+                  load,
+                  getRouterCount,
+                  getSpreadMs: knowledge.getSpreadMs,
+                  hearsOthers: knowledge.hearsOthers,
+                  announceNews: knowledge.announceNews,
+                  drawRandom: Math.random,
+                  logger,
+              })
+            : undefined;
     return {
         host: settings.host,
         zone: settings.zone,
@@ -185,7 +204,8 @@
             onStatus: (part, status, crashes) => logger.logEvent(EventId.PartStatusChanged, { part, status, crashes }),
             announce: knowledge.announceNews,
         }),
-        outages: createOutageDetector(),
+        outages: outageGate?.detector ?? createOutageDetector(),
+        outageGate,
         logger,
         getSharedParts: headers => codec.decodeSharedParts(headers),
         getTokenCounts: headers => codec.decodeTokenCounts(headers),
--- a/src/scheduling/OutageDetector.ts
+++ b/src/scheduling/OutageDetector.ts
@@ -14,6 +14,8 @@
      * @returns Undefined if the service has no outage.
      */
     getRetryDelay(service: string, leftMs: number, now: number): number | undefined;
+    /** Gets the time of the first rejection of the outage in progress, in milliseconds; undefined if there is none. */
+    getBegan(service: string, now: number): number | undefined;
 }
 
 /** Consecutive rejected sends from which a service is considered out. */
@@ -31,6 +33,7 @@
 
 interface RejectionStreak {
     count: number;
+    beganAt: number;
     endpoints: Set<string>;
     lastAt: number;
     probedAt: number;
@@ -47,12 +50,13 @@
         recordAcceptance: service => void streaks.delete(service),
         checkRequest,
         getRetryDelay,
+        getBegan: (service, now) => findOutage(service, now)?.beganAt,
     };
 
     function recordRejection(service: string, endpoint: string, now: number): void {
         let streak = streaks.get(service);
         if (streak === undefined || now - streak.lastAt > REJECTION_EXPIRY_MS) {
-            streak = { count: 0, endpoints: new Set(), lastAt: now, probedAt: now };
+            streak = { count: 0, beganAt: now, endpoints: new Set(), lastAt: now, probedAt: now };
             streaks.set(service, streak);
         }
         streak.count++;
--- /dev/null
+++ b/src/scheduling/OutageHistory.ts
@@ -0,0 +1,293 @@
+import { type OutageDetector, createOutageDetector } from "./OutageDetector.js";
+
+/** An outage in messages: service, time since it began, and time since it ended (-1 while it lasts), in milliseconds. */
+export type OutageReport = [service: string, beganAgoMs: number, endedAgoMs: number];
+
+/** Who told of the beginning or the end of an outage. */
+export enum OutageSource {
+    Own = "own",
+    Peer = "peer",
+}
+
+/** A change of the state of a service. */
+export interface OutageChange {
+    service: string;
+    source: OutageSource;
+    isOut: boolean;
+    /** Time for which the outage has lasted, in milliseconds. */
+    lastedMs: number;
+    /** The outage was forgotten for lack of evidence; whether and when it ended is unknown. */
+    hasLapsed: boolean;
+}
+
+/** Knowledge of the outages of services: when they began and ended, from the sends of this router and from other routers. */
+export interface OutageHistory {
+    /** Detector of this router, whose records also reach the history. */
+    readonly detector: OutageDetector;
+    /** Records that an endpoint broke off a request that it had accepted. */
+    recordLoss(service: string, endpoint: string, now: number): void;
+    /** Gets the monotonic time at which the outage in progress began, in milliseconds; undefined if there is none. */
+    getBegan(service: string, now: number): number | undefined;
+    /** Gets the monotonic time at which the last outage ended, in milliseconds; undefined if none did. */
+    getEnded(service: string): number | undefined;
+    /** Lists the durations of earlier outages, in milliseconds. */
+    listDurations(service: string): number[];
+    /** Lists the outages to tell to other routers. */
+    listReports(now: number): OutageReport[];
+    /** Merges what another router tells. */
+    mergeReports(peer: string, reports: readonly OutageReport[], now: number): void;
+    /** Counts the outages that have begun. */
+    countOutages(): number;
+    /** Gets the duration of the last outage that ended, in milliseconds; 0 if none did. */
+    getLastDuration(): number;
+}
+
+/** Options of the history. */
+export interface OutageHistoryOptions {
+    /** Reads the monotonic clock, in milliseconds. */
+    readNow: () => number;
+    onChange: (change: OutageChange) => void;
+}
+
+/**
+ * Evidence that is an outage if it contains a broken stream and comes from two endpoints: two broken streams, or one and a
+ * rejection. Ranks of a group stop together, and a full endpoint rejects requests but breaks none.
+ */
+const LOSS_POINTS = 2;
+const MIN_POINTS = 3;
+const MIN_LOSS_ENDPOINTS = 2;
+/** Time without a rejection or a report after which an outage is forgotten, in milliseconds; probes are more frequent. */
+const EVIDENCE_EXPIRY_MS = 3_000;
+/** Number of other routers whose reports are believed without a rejection seen by this router. */
+const MIN_REPORTERS = 2;
+/** Age up to which a rejection of this router, or the report of another, counts as evidence, in milliseconds. */
+const EVIDENCE_AGE_MS = 1_500;
+/** Routers see the same outage begin, and end, within this time of each other, in milliseconds. */
+const SAME_OUTAGE_MS = 1_000;
+/** Outages that are remembered for each service. */
+const MAX_PAST = 6;
+/** Outages older than this say nothing of the next one, in milliseconds. */
+const PAST_EXPIRY_MS = 3_600_000;
+/** Time for which each message tells that an outage has ended, in milliseconds; covers routers that lose some messages. */
+const TELL_END_MS = 10_000;
+/**
+ * Earlier outages are told during the first part of each period only, in milliseconds: they matter only to routers that
+ * have started since, and would otherwise be repeated several times a second.
+ */
+const TELL_PAST_PERIOD_MS = 5_000;
+const TELL_PAST_MS = 500;
+/** Bound of the entries in a message. */
+const MAX_REPORTS = 64;
+
+interface PastOutage {
+    beganAt: number;
+    endedAt: number;
+}
+
+interface ServiceState {
+    beganAt: number | undefined;
+    evidenceAt: number;
+    rejectedAt: number;
+    acceptedAt: number;
+    /** Rejections and broken streams since the last acceptance, if one was broken lately. */
+    losses: { startedAt: number; points: number; endpoints: Set<string> } | undefined;
+    /** Time of the last report of an outage in progress, by router. */
+    reporters: Map<string, number>;
+    past: PastOutage[];
+}
+
+/**
+ * Creates a history without outages.
+ * @param options - Clock and listener.
+ */
+export function createOutageHistory(options: OutageHistoryOptions): OutageHistory {
+    const services = new Map<string, ServiceState>();
+    const own = createOutageDetector();
+    let outageCount = 0;
+    let lastDurationMs = 0;
+    return {
+        detector: {
+            ...own,
+            recordRejection(service, endpoint, now) {
+                own.recordRejection(service, endpoint, now);
+                addPoints(service, endpoint, 1, now);
+                recordEvidence(service, now);
+            },
+            recordAcceptance(service) {
+                own.recordAcceptance(service);
+                recordAcceptance(service, options.readNow());
+            },
+        },
+        recordLoss(service, endpoint, now) {
+            own.recordRejection(service, endpoint, now);
+            addPoints(service, endpoint, LOSS_POINTS, now);
+            recordEvidence(service, now);
+        },
+        getBegan,
+        getEnded: service => services.get(service)?.past.at(-1)?.endedAt,
+        listDurations: service => (services.get(service)?.past ?? []).map(({ beganAt, endedAt }) => endedAt - beganAt),
+        listReports,
+        mergeReports(peer, reports, now) {
+            reports.slice(0, MAX_REPORTS).forEach(report => mergeReport(peer, report, now));
+        },
+        countOutages: () => outageCount,
+        getLastDuration: () => lastDurationMs,
+    };
+
+    function getState(service: string): ServiceState {
+        let state = services.get(service);
+        if (state === undefined) {
+            const never = Number.NEGATIVE_INFINITY;
+            state = {
+                beganAt: undefined,
+                evidenceAt: never,
+                rejectedAt: never,
+                acceptedAt: never,
+                losses: undefined,
+                reporters: new Map(),
+                past: [],
+            };
+            services.set(service, state);
+        }
+        return state;
+    }
+
+    /** Rejections before the first broken stream say nothing, and none is kept without one. */
+    function addPoints(service: string, endpoint: string, points: number, now: number): void {
+        const state = getState(service);
+        if (state.losses !== undefined && now - state.losses.startedAt > EVIDENCE_AGE_MS) {
+            state.losses = undefined;
+        }
+        if (points >= LOSS_POINTS) {
+            state.losses ??= { startedAt: now, points: 0, endpoints: new Set() };
+        }
+        if (state.losses !== undefined) {
+            state.losses.points += points;
+            state.losses.endpoints.add(endpoint);
+        }
+    }
+
+    function recordEvidence(service: string, now: number): void {
+        const state = getState(service);
+        state.rejectedAt = now;
+        state.evidenceAt = now;
+        const beganAt = findLossOutage(state) ?? own.getBegan(service, now);
+        if (state.beganAt === undefined && beganAt !== undefined) {
+            beginOutage(service, state, beganAt, OutageSource.Own, now);
+        }
+    }
+
+    function recordAcceptance(service: string, now: number): void {
+        const state = services.get(service);
+        if (state !== undefined) {
+            state.acceptedAt = now;
+            state.losses = undefined;
+            endOutage(service, state, now, OutageSource.Own, now);
+        }
+    }
+
+    function getBegan(service: string, now: number): number | undefined {
+        const state = services.get(service);
+        if (state?.beganAt !== undefined && now - state.evidenceAt > EVIDENCE_EXPIRY_MS) {
+            const lastedMs = now - state.beganAt;
+            state.beganAt = undefined;
+            state.reporters.clear();
+            options.onChange({ service, source: OutageSource.Own, isOut: false, lastedMs, hasLapsed: true });
+        }
+        return state?.beganAt;
+    }
+
+    function beginOutage(
+        service: string,
+        state: ServiceState,
+        beganAt: number,
+        source: OutageSource,
+        now: number,
+    ): void {
+        state.beganAt = beganAt;
+        outageCount++;
+        options.onChange({ service, source, isOut: true, lastedMs: now - beganAt, hasLapsed: false });
+    }
+
+    function endOutage(service: string, state: ServiceState, endedAt: number, source: OutageSource, now: number): void {
+        const { beganAt } = state;
+        if (beganAt === undefined) {
+            return;
+        }
+        state.beganAt = undefined;
+        state.reporters.clear();
+        own.recordAcceptance(service);
+        lastDurationMs = endedAt - beganAt;
+        addPast(state, { beganAt, endedAt }, now);
+        options.onChange({ service, source, isOut: false, lastedMs: lastDurationMs, hasLapsed: false });
+    }
+
+    function addPast(state: ServiceState, past: PastOutage, now: number): void {
+        state.past = [...state.past, past]
+            .filter(({ endedAt }) => now - endedAt < PAST_EXPIRY_MS)
+            .sort((left, right) => left.endedAt - right.endedAt)
+            .slice(-MAX_PAST);
+    }
+
+    function listReports(now: number): OutageReport[] {
+        const tellsPast = now % TELL_PAST_PERIOD_MS < TELL_PAST_MS;
+        const reports = [...services].flatMap(([service, { past, rejectedAt }]) => {
+            const beganAt = getBegan(service, now);
+            // A router that knows of an outage only from others doesn't repeat it, or they would keep it up among themselves.
+            const isSeen = now - rejectedAt <= EVIDENCE_EXPIRY_MS;
+            const ended = past
+                .filter(({ endedAt }) => tellsPast || now - endedAt < TELL_END_MS)
+                .map((one): OutageReport => buildReport(service, one.beganAt, one.endedAt, now));
+            return beganAt === undefined || !isSeen ? ended : [buildReport(service, beganAt, undefined, now), ...ended];
+        });
+        return reports.slice(0, MAX_REPORTS);
+    }
+
+    function mergeReport(peer: string, [service, beganAgoMs, endedAgoMs]: OutageReport, now: number): void {
+        const state = getState(service);
+        const beganAt = now - beganAgoMs;
+        if (endedAgoMs < 0) {
+            mergeOngoing(service, state, peer, beganAt, now);
+        } else {
+            mergeEnded(service, state, { beganAt, endedAt: now - endedAgoMs }, now);
+        }
+    }
+
+    /** A report of an outage that this router knows to have ended, or during which an endpoint accepted work, is late. */
+    function mergeOngoing(service: string, state: ServiceState, peer: string, beganAt: number, now: number): void {
+        const lastEnd = state.past.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY;
+        if (beganAt <= Math.max(lastEnd, state.acceptedAt)) {
+            return;
+        }
+        state.reporters.set(peer, now);
+        if (state.beganAt !== undefined) {
+            state.beganAt = Math.min(state.beganAt, beganAt);
+            state.evidenceAt = now;
+            return;
+        }
+        const reporters = [...state.reporters.values()].filter(at => now - at <= EVIDENCE_AGE_MS).length;
+        if (reporters >= MIN_REPORTERS || now - state.rejectedAt <= EVIDENCE_AGE_MS) {
+            state.evidenceAt = now;
+            beginOutage(service, state, beganAt, OutageSource.Peer, now);
+        }
+    }
+
+    function mergeEnded(service: string, state: ServiceState, past: PastOutage, now: number): void {
+        if (state.beganAt !== undefined && past.endedAt > state.beganAt) {
+            state.beganAt = Math.min(state.beganAt, past.beganAt);
+            endOutage(service, state, past.endedAt, OutageSource.Peer, now);
+        } else if (!state.past.some(({ endedAt }) => Math.abs(endedAt - past.endedAt) < SAME_OUTAGE_MS)) {
+            addPast(state, past, now);
+        }
+    }
+}
+
+/** Gets the time of the first broken stream, if streams and rejections of several endpoints show an outage. */
+function findLossOutage({ losses }: ServiceState): number | undefined {
+    const isOut = losses !== undefined && losses.points >= MIN_POINTS && losses.endpoints.size >= MIN_LOSS_ENDPOINTS;
+    return isOut ? losses.startedAt : undefined;
+}
+
+function buildReport(service: string, beganAt: number, endedAt: number | undefined, now: number): OutageReport {
+    return [service, Math.round(now - beganAt), endedAt === undefined ? -1 : Math.round(now - endedAt)];
+}
--- /dev/null
+++ b/src/scheduling/OutageQueue.ts
@@ -0,0 +1,235 @@
+import type { OutageHistory } from "./OutageHistory.js";
+import {
+    type OutageOutlook,
+    type OutageRequest,
+    compareAfterOutage,
+    computeLastStart,
+    getMaxDelay,
+    planOutageStep,
+    planRefusal,
+} from "./OutagePlan.js";
+
+/** A request that the queue decides about. */
+export interface QueuedOutageRequest {
+    request: OutageRequest;
+    /** Sends that are left to the request; one that has only its last may be sent as a probe in its place of a refusal. */
+    sendsLeft: number;
+}
+
+/** What becomes of a queued request. */
+export type OutageAction =
+    /** The request is sent now; `isProbe` tells that the outage is still on. */
+    | { isSent: true; isProbe: boolean }
+    /** The request is refused; the caller doesn't come back if there is no delay. */
+    | { isSent: false; delayMs: number | undefined };
+
+/** A queued request and what becomes of it. */
+export interface OutageDecision<Entry> {
+    entry: Entry;
+    action: OutageAction;
+}
+
+/** Holds the requests of one service during an outage, and lets them in when it has ended. */
+export interface OutageQueue<Entry extends QueuedOutageRequest> {
+    /** Decides about a request that arrives or comes back from a send; undefined if it waits from now on. */
+    offerRequest(entry: Entry, now: number): OutageAction | undefined;
+    /** Removes a request whose caller has left. */
+    removeRequest(entry: Entry): void;
+    /** Decides about waiting requests; to be called again while any waits. */
+    takeDecisions(now: number): OutageDecision<Entry>[];
+    countWaiting(): number;
+    /** Ends the wait of all requests at a time, as before a planned stop. */
+    setLastStart(at: number): void;
+}
+
+/** Options of the queue. */
+export interface OutageQueueOptions {
+    service: string;
+    history: Pick<OutageHistory, "getBegan" | "getEnded" | "listDurations">;
+    /** Counts the slots of the candidates that are not in use, as far as known. */
+    countFreeSlots: () => number;
+    countSlots: () => number;
+    /** Counts the routers among which the free slots are divided. */
+    countRouters: () => number;
+    /** Gets the time until the other routers know what this one has sent, in milliseconds. */
+    getSpreadMs: () => number;
+    /** Gets the expected durations of a stream, in milliseconds. */
+    getDurations: () => Pick<OutageOutlook, "firstEventMs" | "runMs">;
+    /** Compares requests; the one that goes first is less. By default those that came back or can be in time go first. */
+    compare?: (left: OutageRequest, right: OutageRequest, firstByAt: number) => number;
+    maxWaiting: number;
+    drawRandom: () => number;
+}
+
+/**
+ * Time between the probes of all routers, in milliseconds. The first accepted one is announced to all, so that the sum over the
+ * routers decides how soon the end is known; each rejected one takes a send from the retry budget.
+ */
+const FLEET_PROBE_INTERVAL_MS = 25;
+/** Bounds of the time between the probes of one router, in milliseconds. */
+const MIN_PROBE_INTERVAL_MS = 200;
+const MAX_PROBE_INTERVAL_MS = 1_000;
+/** Time before the end of its wait in which a request may be a probe with its last send, in milliseconds. */
+const LAST_PROBE_MS = 250;
+/** Time after an outage in which requests are let in at the pace of the service, in milliseconds. */
+const RETURN_MS = 1_500;
+/** Utilization below which a request that has waited is sent rather than refused: refusing it then is a fault. */
+const REFUSAL_MIN_UTILIZATION = 0.5;
+
+/**
+ * Creates an empty queue.
+ * @param options - Service, knowledge of its outages, and its free slots.
+ */
+export function createOutageQueue<Entry extends QueuedOutageRequest>(options: OutageQueueOptions): OutageQueue<Entry> {
+    const { service, history } = options;
+    const compare = options.compare ?? compareAfterOutage;
+    const waiting = new Set<Entry>();
+    let probedAt = Number.NEGATIVE_INFINITY;
+    let lastStartAt = Number.POSITIVE_INFINITY;
+    /** Requests that may still be sent in the window, which began at the time. */
+    let credit = 0;
+    let windowAt = Number.NEGATIVE_INFINITY;
+    return {
+        offerRequest,
+        removeRequest: entry => void waiting.delete(entry),
+        takeDecisions,
+        countWaiting: () => waiting.size,
+        setLastStart(at) {
+            lastStartAt = at;
+        },
+    };
+
+    function offerRequest(entry: Entry, now: number): OutageAction | undefined {
+        const beganAt = history.getBegan(service, now);
+        return beganAt === undefined ? offerAfterOutage(entry, now) : offerInOutage(entry, beganAt, now);
+    }
+
+    function offerInOutage(entry: Entry, beganAt: number, now: number): OutageAction | undefined {
+        const step = planOutageStep(entry.request, buildOutlook(beganAt, now));
+        const waits = step.isWaiting && now < lastStartAt && waiting.size < options.maxWaiting;
+        // A request that can't be served can still tell whether the outage has ended.
+        if (isProbeDue(now) && (!waits || entry.sendsLeft > 1)) {
+            return startProbe(now);
+        }
+        if (waits) {
+            waiting.add(entry);
+            return undefined;
+        }
+        return step.isWaiting ? refuse(entry, beganAt, now) : { isSent: false, delayMs: step.delayMs };
+    }
+
+    function offerAfterOutage(entry: Entry, now: number): OutageAction | undefined {
+        if (!isReturning(now) || (waiting.size === 0 && takeCredit(now))) {
+            return { isSent: true, isProbe: false };
+        }
+        if (computeWaitEnd(entry) <= now || waiting.size >= options.maxWaiting) {
+            return finishAfterOutage(entry, now);
+        }
+        waiting.add(entry);
+        return undefined;
+    }
+
+    /** Requests that wait go on being let in by turns, however long that takes. */
+    function isReturning(now: number): boolean {
+        const endedAt = history.getEnded(service) ?? Number.NEGATIVE_INFINITY;
+        return waiting.size > 0 || now - endedAt < RETURN_MS;
+    }
+
+    function takeDecisions(now: number): OutageDecision<Entry>[] {
+        const beganAt = history.getBegan(service, now);
+        const decisions = beganAt === undefined ? takeAfterOutage(now) : takeInOutage(beganAt, now);
+        decisions.forEach(({ entry }) => waiting.delete(entry));
+        return decisions;
+    }
+
+    function takeInOutage(beganAt: number, now: number): OutageDecision<Entry>[] {
+        const decisions: OutageDecision<Entry>[] = [];
+        for (const entry of waiting) {
+            if (computeWaitEnd(entry) <= now) {
+                const action = isProbeDue(now) ? startProbe(now) : refuse(entry, beganAt, now);
+                decisions.push({ entry, action });
+            }
+        }
+        if (isProbeDue(now)) {
+            const entry = findProbe(
+                decisions.map(decision => decision.entry),
+                now,
+            );
+            if (entry !== undefined) {
+                decisions.push({ entry, action: startProbe(now) });
+            }
+        }
+        return decisions;
+    }
+
+    /** A probe may be rejected, so it is a request that has another send left, or one that can't wait much longer. */
+    function findProbe(taken: readonly Entry[], now: number): Entry | undefined {
+        const entries = [...waiting].filter(entry => !taken.includes(entry));
+        return (
+            entries.find(({ sendsLeft }) => sendsLeft > 1) ??
+            entries.find(entry => computeWaitEnd(entry) - now <= LAST_PROBE_MS)
+        );
+    }
+
+    function takeAfterOutage(now: number): OutageDecision<Entry>[] {
+        const { firstEventMs } = options.getDurations();
+        const order = [...waiting].sort((left, right) => compare(left.request, right.request, now + firstEventMs));
+        const decisions: OutageDecision<Entry>[] = [];
+        for (const entry of order) {
+            if (takeCredit(now)) {
+                decisions.push({ entry, action: { isSent: true, isProbe: false } });
+            } else if (computeWaitEnd(entry) <= now) {
+                decisions.push({ entry, action: finishAfterOutage(entry, now) });
+            }
+        }
+        return decisions;
+    }
+
+    function finishAfterOutage(entry: Entry, now: number): OutageAction {
+        const used = 1 - options.countFreeSlots() / Math.max(1, options.countSlots());
+        const { request } = entry;
+        if (used < REFUSAL_MIN_UTILIZATION && computeLastStart(request, options.getDurations()) >= now) {
+            return { isSent: true, isProbe: false };
+        }
+        const canReturn = !request.hasReturned && !request.mayHaveRun;
+        // Returns at random times meet the slots that are free by then, instead of each other.
+        return { isSent: false, delayMs: canReturn ? options.drawRandom() * getMaxDelay(request, now) : undefined };
+    }
+
+    function refuse({ request }: Entry, beganAt: number, now: number): OutageAction {
+        return { isSent: false, delayMs: planRefusal(request, buildOutlook(beganAt, now)).delayMs };
+    }
+
+    function computeWaitEnd({ request }: Entry): number {
+        return Math.min(computeLastStart(request, options.getDurations()), lastStartAt);
+    }
+
+    function buildOutlook(beganAt: number, now: number): OutageOutlook {
+        return { now, beganAt, durations: history.listDurations(service), ...options.getDurations() };
+    }
+
+    function isProbeDue(now: number): boolean {
+        const intervalMs = options.countRouters() * FLEET_PROBE_INTERVAL_MS;
+        const boundedMs = Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, intervalMs));
+        return now - probedAt >= boundedMs;
+    }
+
+    function startProbe(now: number): OutageAction {
+        probedAt = now;
+        return { isSent: true, isProbe: true };
+    }
+
+    /** In each window, in which the other routers don't know what this one sends, it may use its part of the free slots. */
+    function takeCredit(now: number): boolean {
+        const endedAt = history.getEnded(service) ?? Number.NEGATIVE_INFINITY;
+        if (windowAt < endedAt || now - windowAt >= options.getSpreadMs()) {
+            windowAt = now;
+            credit = Math.floor(options.countFreeSlots() / options.countRouters() + options.drawRandom());
+        }
+        if (credit < 1) {
+            return false;
+        }
+        credit--;
+        return true;
+    }
+}
