--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -17,6 +17,7 @@
 import type { EvacuationKnowledge } from "./evacuation/index.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadTracker } from "./LoadTracker.js";
+import type { OutageGate } from "./outage/index.js";
 import type { SharedRetryBudget } from "./SharedRetryBudget.js";
 import type { RequestAdmission } from "./RequestAdmission.js";
 
@@ -43,6 +44,8 @@
     suspects: SuspectTable;
     quarantine: PartQuarantine;
     outages: OutageDetector;
+    /** Holds requests during outages; undefined if they are refused. */
+    outageGate: OutageGate | undefined;
     pace: ConcurrencyLimiter;
     admission: RequestAdmission;
     logger: Logger;
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -30,6 +30,7 @@
 import type { HeaderNames } from "./HeaderNames.js";
 import { type ClusterView, startClusterView } from "./ClusterView.js";
 import { createLoadTracker } from "./LoadTracker.js";
+import { addOutageGauges, createOutageGate } from "./outage/index.js";
 import { createSharedRetryBudget } from "./SharedRetryBudget.js";
 import type { ColdBehavior } from "./RoutingDocument.js";
 import type { RouteIndex } from "./RouteIndex.js";
@@ -103,6 +104,9 @@
         getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
         isReadingStore: () => knowledge.isReadingStore(),
     });
+    if (context.outageGate !== undefined) {
+        addOutageGauges(metrics.set, context.outageGate);
+    }
     const service = createCountedService(platform.service, metrics.recordStoreCall);
     const callers = buildCallerServer(context, getServedIndex, metrics, () => knowledge.isDocumentStale());
     const knowledge: ClusterView = startClusterView({ settings, service, codec, holder, context, logger });
@@ -130,6 +134,7 @@
         const startedAt = readMonotonicMs();
         isDraining = true;
         callers.startDraining();
+        context.outageGate?.startDraining(settings.drain.graceMs);
         knowledge.announceLeaving();
         logger.logEvent(EventId.ProcessDraining, { concurrent: callers.countActiveRequests() });
         await waitFor(settings.drain.noticeMs);
@@ -212,6 +217,20 @@
         createPauseRule(pauses),
         createColdRule(cold),
     ]);
+    const outageGate =
+        settings.outageReturn === true
+            ? createOutageGate({
+                  directory,
+                  candidates,
+                  load,
+                  getRouterCount,
+                  getSpreadMs: knowledge.getSpreadMs,
+                  hearsOthers: knowledge.hearsOthers,
+                  announceNews: knowledge.announceNews,
+                  drawRandom: Math.random,
+                  logger,
+              })
+            : undefined;
     return {
         host: settings.host,
         zone: settings.zone,
@@ -243,7 +262,8 @@
             onStatus: (part, status, crashes) => logger.logEvent(EventId.PartStatusChanged, { part, status, crashes }),
             announce: knowledge.announceNews,
         }),
-        outages: createOutageDetector(),
+        outages: outageGate?.detector ?? createOutageDetector(),
+        outageGate,
         logger,
         getSharedParts: headers => codec.decodeSharedParts(headers),
         getTokenCounts: headers => codec.decodeTokenCounts(headers),
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -42,6 +42,8 @@
     leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Endpoints that turn the sender's requests away, with the rest of the pause that they want, in milliseconds. */
     pauses: z.array(z.tuple([z.string(), z.number()])).default([]),
+    /** Outages of services: time since they began, and time since they ended (-1 while they last), in milliseconds. */
+    outages: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
     /** Attempts per second to find an endpoint of a service with such limits. */
     attempts: z.record(z.string(), z.number()).default({}),
     /** Evacuated availability zones; absent if the sender knows nothing of them, or is of an earlier version. */
