--- a/src/direct/cold/ColdMarks.ts
+++ b/src/direct/cold/ColdMarks.ts
@@ -13,7 +13,7 @@
     markAppearance(record: EndpointRecord, startedMsAgo: number, now: number): void;
     /** Records until when the endpoint's entry or an answer says that it is cold; the last word of each source holds. */
     markUntil(record: EndpointRecord, source: ColdSource.Entry | ColdSource.Answer, until: number): void;
-    /** Gets the time until which the endpoint is cold by its entry, in milliseconds; undefined without a mark. */
+    /** Gets the time until which the endpoint is cold by its entry, in milliseconds; undefined if it doesn't say. */
     getEntryUntil(endpoint: string): number | undefined;
     hasMark(endpoint: string): boolean;
     /** Gets the time until which an endpoint is cold, in milliseconds; in the past if it isn't. */
@@ -56,7 +56,10 @@
             const change = source === ColdSource.Entry ? { entryUntil: until } : { answerUntil: until };
             Object.assign(getMark(record, source), { source, ...change });
         },
-        getEntryUntil: endpoint => marks.get(endpoint)?.entryUntil,
+        getEntryUntil(endpoint) {
+            const until = marks.get(endpoint)?.entryUntil;
+            return until === NEVER ? undefined : until;
+        },
         hasMark: endpoint => marks.has(endpoint),
         getColdUntil(endpoint, behavior) {
             const mark = marks.get(endpoint);
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -72,12 +72,14 @@
  * Starts a router and some endpoints.
  * @param wrapStore - Wraps the store for the router, for example to inject faults.
  * @param controlAddress - Address of its control server, if a link in front of it has the router's own address.
+ * @param change - Changes the settings of the router.
  */
 export async function startDirectSystem(
     t: OwningTest,
     endpointCount = 2,
     wrapStore = (store: KeyValueStore): KeyValueService => store,
     controlAddress = ADDRESS,
+    change: Partial<DirectSettings> = {},
 ): Promise<DirectSystem> {
     const store = createKeyValueStore();
     const lines: string[] = [];
@@ -85,7 +87,7 @@
     const endpoints = await Promise.all(
         Array.from({ length: endpointCount }, () => startEndpointStandin((seen, socket) => socket.destroy())),
     );
-    const settings = buildSettings(ADDRESS, await findFreePorts(5));
+    const settings = { ...buildSettings(ADDRESS, await findFreePorts(5)), ...change };
     settings.listen.control.address = controlAddress;
     await writeDocument(1);
     for (const index of endpoints.keys()) {
