Direct router: requests wait for evacuations after a standstill; metrics

Cause: a router that stood still sends by what it knew before, and takes the answers and messages that waited in its buffers for new. Change: a request that finds the knowledge older than 0.85 of the bound waits until the store or a peer has been read, for a second at most, unless the store could not be reached before. Ages include the time in which the process stood still. The zones are listed at once when the knowledge is old. Gauges of evacuated zones and of the age.

--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -110,6 +110,7 @@
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
+    const maxEvacuationAgeMs = MAX_EVACUATION_AGE_FRACTION * (settings.evacuateMs ?? Number.POSITIVE_INFINITY);
     const startedAt = readMonotonicMs();
     let isLeaving = false;
     let hasUsableDocument = false;
@@ -125,6 +126,7 @@
         knowledge,
         documentKnowledge,
         evacuations,
+        maxEvacuationAgeMs,
         logger,
     });
     const gossip: PeerGossip = startPeerGossip({
@@ -192,7 +194,7 @@
             documentBehindMs: documentKnowledge.getBehindMs(),
             maxDocumentBehindMs: MAX_DOCUMENT_BEHIND_FRACTION * settings.applyMs,
             evacuationAgeMs: evacuations.getAgeMs(),
-            maxEvacuationAgeMs: MAX_EVACUATION_AGE_FRACTION * (settings.evacuateMs ?? Number.POSITIVE_INFINITY),
+            maxEvacuationAgeMs,
             maxSilenceMs: PLATFORM_SILENCE_MS,
             peers: gossip.listRecent(MAX_PEER_MESSAGE_AGE_MS),
         });
@@ -254,7 +256,7 @@
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         if (message.evacuations !== undefined) {
-            evacuations.mergeReport(message.evacuations, message.address);
+            evacuations.mergeReport(message.evacuations, message.address, Number.POSITIVE_INFINITY);
         }
         fallback.handleMessage(message);
     }
--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -13,7 +13,7 @@
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { EndpointNotices } from "./EndpointNotices.js";
 import type { EndpointPauses } from "./EndpointPauses.js";
-import type { EvacuationKnowledge } from "./evacuation/index.js";
+import type { Evacuations } from "./evacuation/index.js";
 import type { HeaderNames } from "./HeaderNames.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { SharedRetryBudget } from "./SharedRetryBudget.js";
@@ -28,7 +28,7 @@
     /** Tells which endpoints a request may be sent to. */
     candidates: EndpointCandidates;
     /** Availability zones that no request may be sent to. */
-    evacuations: EvacuationKnowledge;
+    evacuations: Evacuations;
     load: LoadTracker;
     health: EndpointHealth;
     /** What endpoints say of themselves in their answers. */
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -32,6 +32,9 @@
     countRefusedParts(): number;
     /** Counts the endpoints that name a limit on the rate of requests. */
     countLimited(): number;
+    countEvacuatedZones(): number;
+    /** Time since the store confirmed the evacuated zones to this router or a peer, in milliseconds; 0 without evacuations. */
+    getEvacuationAgeMs(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
 }
@@ -130,6 +133,13 @@
         { name: "auburnpass_document_behind_seconds", help: "Time for which a higher version has been known" },
         () => state.getDocumentBehindMs() / MS_PER_SECOND,
     );
+    set.addGauge({ name: "auburnpass_evacuated_zones", help: "Availability zones that get no requests" }, () =>
+        state.countEvacuatedZones(),
+    );
+    set.addGauge(
+        { name: "auburnpass_evacuation_age_seconds", help: "Time since the store last confirmed the evacuated zones" },
+        () => state.getEvacuationAgeMs() / MS_PER_SECOND,
+    );
     set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
         state.isReadingStore() ? 1 : 0,
     );
--- a/src/direct/PeerFallback.ts
+++ b/src/direct/PeerFallback.ts
@@ -9,7 +9,7 @@
 import type { DocumentReply } from "./DocumentServer.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import { type EndpointKnowledge, PLATFORM_SILENCE_MS } from "./EndpointKnowledge.js";
-import type { EvacuationKnowledge } from "./evacuation/index.js";
+import type { Evacuations } from "./evacuation/index.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
 import type { DirectControl, RouterSnapshot } from "./directControl.js";
 
@@ -29,7 +29,7 @@
     applyMs: number;
     knowledge: EndpointKnowledge;
     documentKnowledge: DocumentKnowledge;
-    evacuations: Pick<EvacuationKnowledge, "mergeReport">;
+    evacuations: Pick<Evacuations, "mergeReport">;
     /** Tells whether this router reads the store itself. */
     isReadingStore: () => boolean;
     logger: Logger;
@@ -193,7 +193,7 @@
                     control.getKnowledge.query({ version: knownVersion }, { signal }) as Promise<RouterSnapshot>,
                 CALL_TIMEOUT_MS,
             );
-            applySnapshot(snapshot, address);
+            applySnapshot(snapshot, address, readMonotonicMs() - startedAt);
         } catch (error) {
             logFailure(error, address, startedAt);
         } finally {
@@ -207,9 +207,9 @@
         logger.logFailure(EventId.PeerUnreachable, error, { peer, lastedMs, behindMs });
     }
 
-    function applySnapshot(snapshot: RouterSnapshot, address: string): void {
+    function applySnapshot(snapshot: RouterSnapshot, address: string, lastedMs: number): void {
         if (snapshot.evacuations !== undefined) {
-            options.evacuations.mergeReport(snapshot.evacuations, address);
+            options.evacuations.mergeReport(snapshot.evacuations, address, lastedMs);
         }
         if (snapshot.document !== undefined) {
             holder.applyDocument(snapshot.document, address);
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -14,7 +14,7 @@
 import type { EndpointKnowledge } from "./EndpointKnowledge.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { RouteIndexHolder } from "./RouteIndexHolder.js";
-import { type EvacuationKnowledge, createStoreEvacuations } from "./evacuation/index.js";
+import { type Evacuations, createStoreEvacuations } from "./evacuation/index.js";
 import { computeDocumentWatchTimes, computeWatchTimes } from "./computeWatchTimes.js";
 
 /** Options of the synchronisation with the store. */
@@ -34,7 +34,9 @@
     /** Updated with each answer on the document. */
     documentKnowledge: DocumentKnowledge;
     /** Updated with each answer on the evacuated zones, whose keys have the prefix of the document. */
-    evacuations: EvacuationKnowledge;
+    evacuations: Evacuations;
+    /** Age of the knowledge of evacuated zones from which the store is read at once, in milliseconds. */
+    maxEvacuationAgeMs: number;
     logger: Logger;
 }
 
@@ -74,6 +76,7 @@
     /** The store's newest document can't be read, so the active one is not the newest. */
     let isDocumentRejected = false;
     let isDocumentNewsLate = false;
+    let areZonesLate = false;
     let isReading = true;
     /** The service was not called for a time, and has not answered since. */
     let isResuming = false;
@@ -94,9 +97,9 @@
                 storeEvacuations.applyEntry(entry);
             },
             onDeleted: storeEvacuations.removeKey,
-            onAnswer(position) {
+            onAnswer(position, lastedMs) {
                 confirmDocument();
-                storeEvacuations.confirm(position);
+                storeEvacuations.confirm(position, lastedMs);
             },
             onFailure: (error, call) => recordFailure(codec.documentPrefix, error, call),
         },
@@ -121,9 +124,10 @@
     const dutyLoop: Loop = startLoop(
         DUTY_CHECK_MS,
         async () => {
+            options.evacuations.update();
             updateDuty();
             checkDocumentNews();
-            options.evacuations.expireKept();
+            checkZoneNews();
         },
         error => logger.logFailure(EventId.TaskFailed, error, { task: "store duty" }),
     );
@@ -150,6 +154,17 @@
         isDocumentNewsLate = isLate;
     }
 
+    /** Lists the zones at once when the knowledge of them is old: a watch may hang, or wait for a change. */
+    function checkZoneNews(): void {
+        const ageMs = options.evacuations.getAgeMs();
+        const isLate = options.evacuations.isKnown() && ageMs >= options.maxEvacuationAgeMs;
+        if (isLate && !areZonesLate) {
+            documentWatcher.restart();
+            logger.logEvent(EventId.EvacuationNewsLate, { ageMs: roundAge(ageMs), isReading });
+        }
+        areZonesLate = isLate;
+    }
+
     /** The wait of a watch of the document is no silence. */
     function readAgeMs(): number {
         const now = readMonotonicMs();
@@ -259,6 +274,7 @@
 
     function recordFailure(prefix: string, error: unknown, call: WatcherCall): void {
         options.knowledge.recordFailure();
+        options.evacuations.recordFailedRead(call.lastedMs);
         isResuming = false;
         const { isListing, fromRevision } = call;
         const lastedMs = Math.round(call.lastedMs);
--- a/src/direct/evacuation/EvacuationKnowledge.ts
+++ b/src/direct/evacuation/EvacuationKnowledge.ts
@@ -31,8 +31,11 @@
 
 /** Which availability zones are evacuated, as far as the store or another router has told. An evacuation never ends by age. */
 export interface EvacuationKnowledge {
-    /** Replaces the zones by those that the store named just now, unless a later position is known. */
-    applyStoreZones(zones: readonly string[], position: StorePosition): void;
+    /**
+     * Replaces the zones by those that the store named, unless a later position is known.
+     * @param ageMs - Longest time since the store named them, in milliseconds.
+     */
+    applyStoreZones(zones: readonly string[], position: StorePosition, ageMs: number): void;
     /** Merges what another router knows: a set with a later position replaces an earlier one. */
     mergeReport(report: EvacuationReport, source: EvacuationSource): void;
     /** Builds the report for other routers; undefined before anything is known. */
@@ -67,7 +70,7 @@
     let eraReadAt = Number.NEGATIVE_INFINITY;
     let effective: ReadonlySet<string> = new Set();
     return {
-        applyStoreZones: (zones, next) => applyZones(zones, next, 0, 0, STORE_SOURCE),
+        applyStoreZones: (zones, next, ageMs) => applyZones(zones, next, ageMs, 0, STORE_SOURCE),
         mergeReport,
         buildReport,
         isEvacuated(zone) {
--- a/src/direct/evacuation/StoreEvacuations.ts
+++ b/src/direct/evacuation/StoreEvacuations.ts
@@ -1,15 +1,18 @@
 import type { KeyValueEntry, StorePosition } from "../../platform/index.js";
 import { EventId, type Logger } from "../../telemetry/index.js";
 import type { DirectCodec } from "../DirectCodec.js";
-import type { EvacuationKnowledge } from "./EvacuationKnowledge.js";
+import type { Evacuations } from "./Evacuations.js";
 
 /** Collects the evacuations of each answer of the store, which come into force together with its position. */
 export interface StoreEvacuations {
     applyListing(entries: readonly KeyValueEntry[]): void;
     applyEntry(entry: KeyValueEntry): void;
     removeKey(key: string): void;
-    /** Brings the zones into force, once all changes of an answer are applied. */
-    confirm(position: StorePosition): void;
+    /**
+     * Brings the zones into force, once all changes of an answer are applied.
+     * @param lastedMs - Duration of the call, in milliseconds.
+     */
+    confirm(position: StorePosition, lastedMs: number): void;
 }
 
 /** Longest name of an availability zone; a longer one would fill the messages between routers. */
@@ -18,12 +21,12 @@
 /**
  * Creates the collection.
  * @param codec - Decodes the keys.
- * @param knowledge - Receives the zones of each answer.
+ * @param evacuations - Receives the zones of each answer.
  * @param logger - Receives one line for each irregular key.
  */
 export function createStoreEvacuations(
     codec: Pick<DirectCodec, "getEvacuatedZone">,
-    knowledge: Pick<EvacuationKnowledge, "applyStoreZones">,
+    evacuations: Pick<Evacuations, "applyStoreZones">,
     logger: Logger,
 ): StoreEvacuations {
     /** Revisions of the keys, by zone. */
@@ -43,7 +46,7 @@
                 rejected.delete(zone);
             }
         },
-        confirm: position => knowledge.applyStoreZones([...revisions.keys()], position),
+        confirm: (position, lastedMs) => evacuations.applyStoreZones([...revisions.keys()], position, lastedMs),
     };
 
     /** Any value of the key evacuates the zone, so that a misprint in it can't leave the zone in use. */
--- a/src/direct/evacuation/createUsableEndpoints.ts
+++ b/src/direct/evacuation/createUsableEndpoints.ts
@@ -1,5 +1,5 @@
 import type { EndpointDirectory } from "../EndpointDirectory.js";
-import type { EvacuationKnowledge } from "./EvacuationKnowledge.js";
+import type { Evacuations } from "./Evacuations.js";
 
 /**
  * Creates the view of the endpoints whose slots are capacity: those of evacuated availability zones are none.
@@ -8,7 +8,7 @@
  */
 export function createUsableEndpoints(
     directory: Pick<EndpointDirectory, "listServing">,
-    evacuations: Pick<EvacuationKnowledge, "isEvacuated" | "isEmpty">,
+    evacuations: Pick<Evacuations, "isEvacuated" | "isEmpty">,
 ): Pick<EndpointDirectory, "listServing"> {
     return {
         listServing(service) {
--- a/src/direct/evacuation/evacuationRule.ts
+++ b/src/direct/evacuation/evacuationRule.ts
@@ -1,13 +1,13 @@
 import { CandidateRule } from "../candidates/CandidateRule.js";
 import { ExclusionReason } from "../candidates/ExclusionReason.js";
 import type { EndpointRecord } from "../EndpointRecord.js";
-import type { EvacuationKnowledge } from "./EvacuationKnowledge.js";
+import type { Evacuations } from "./Evacuations.js";
 
 /**
  * Creates the rule that excludes endpoints of evacuated availability zones.
  * @param evacuations - Evacuated zones.
  */
-export function createEvacuationRule(evacuations: Pick<EvacuationKnowledge, "isEvacuated" | "isEmpty">): CandidateRule {
+export function createEvacuationRule(evacuations: Pick<Evacuations, "isEvacuated" | "isEmpty">): CandidateRule {
     return new (class EvacuationRule extends CandidateRule {
         override readonly reason = ExclusionReason.Evacuated;
 
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -22,7 +22,12 @@
 import { DirectoryChange, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointNotices } from "./EndpointNotices.js";
 import { createEndpointCandidates, createLeavingRule, createPauseRule } from "./candidates/index.js";
-import { createEvacuationRule, createEvacuations, createUsableEndpoints } from "./evacuation/index.js";
+import {
+    createEvacuationRule,
+    createEvacuations,
+    createGuardedAdmission,
+    createUsableEndpoints,
+} from "./evacuation/index.js";
 import { createEndpointPauses } from "./EndpointPauses.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -94,6 +99,8 @@
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
         getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
+        countEvacuatedZones: () => context.evacuations.listZones().length,
+        getEvacuationAgeMs: () => context.evacuations.getAgeMs(),
         isReadingStore: () => knowledge.isReadingStore(),
     });
     const service = createCountedService(platform.service, metrics.recordStoreCall);
@@ -174,6 +181,8 @@
         createLeavingRule(notices),
         createPauseRule(pauses),
     ]);
+    const usable = createUsableEndpoints(directory, evacuations);
+    const admission = createRequestAdmission({ directory: usable, load, pace, limiter, candidates });
     return {
         host: settings.host,
         zone: settings.zone,
@@ -183,13 +192,7 @@
         evacuations,
         load,
         pace,
-        admission: createRequestAdmission({
-            directory: createUsableEndpoints(directory, evacuations),
-            load,
-            pace,
-            limiter,
-            candidates,
-        }),
+        admission: settings.evacuateMs === undefined ? admission : createGuardedAdmission(admission, evacuations),
         health,
         limiter,
         notices,
--- a/src/platform/PrefixWatcher.ts
+++ b/src/platform/PrefixWatcher.ts
@@ -21,7 +21,7 @@
     /** Also called for an entry that was written and deleted between two answers, as the listener may know it from elsewhere. */
     onDeleted(key: string): void;
     /** Called after each answer of the service, with or without changes. */
-    onAnswer(position: StorePosition): void;
+    onAnswer(position: StorePosition, lastedMs: number): void;
     /** Called when a call has failed; the watcher retries it. */
     onFailure(error: unknown, call: WatcherCall): void;
 }
@@ -113,7 +113,7 @@
             }
             consecutiveTimeouts = 0;
             retryDelayMs = FIRST_RETRY_MS;
-            listener.onAnswer(position ?? START_POSITION);
+            listener.onAnswer(position ?? START_POSITION, readMonotonicMs() - startedAt);
         } catch (error) {
             if (currentCall.signal.aborted) {
                 return;
--- a/tests/direct/evacuation/storeEvacuationsTests.ts
+++ b/tests/direct/evacuation/storeEvacuationsTests.ts
@@ -35,28 +35,28 @@
     ];
     for (const revision of [6, 7]) {
         store.applyListing(entries);
-        store.confirm({ era: 0, revision });
+        store.confirm({ era: 0, revision }, 1);
     }
     t.strictSame(evacuations.listZones(), ["a", "no-such-zone"]);
     t.strictSame(listEvents(), [
         "EvacuationRejected",
         "EvacuationRejected",
         "EvacuationStarted",
-        "EvacuationOfUnknownZone",
+        "EvacuatedZoneUnknown",
     ]);
 });
 
 t.test("two zones at once, one of them twice, are evacuated and end one by one", async t => {
     const { evacuations, store, listEvents, withdrawn } = startEvacuations();
     store.applyListing([]);
-    store.confirm({ era: 0, revision: 1 });
+    store.confirm({ era: 0, revision: 1 }, 1);
     store.applyEntry(buildEntry("a", 2));
     store.applyEntry(buildEntry("b", 3));
-    store.confirm({ era: 0, revision: 3 });
+    store.confirm({ era: 0, revision: 3 }, 1);
     store.applyEntry(buildEntry("a", 4));
-    store.confirm({ era: 0, revision: 4 });
+    store.confirm({ era: 0, revision: 4 }, 1);
     store.removeKey("op/evacuate/a");
-    store.confirm({ era: 0, revision: 5 });
+    store.confirm({ era: 0, revision: 5 }, 1);
     t.strictSame(evacuations.listZones(), ["b"]);
     t.strictSame(withdrawn, ["a"], "its endpoints count as cold from now on");
     t.strictSame(listEvents(), ["EvacuationStarted", "EvacuationStarted", "EvacuationRepeated", "EvacuationWithdrawn"]);
@@ -65,9 +65,9 @@
 t.test("a listing after lost history ends what was withdrawn meanwhile", async t => {
     const { evacuations, store } = startEvacuations();
     store.applyListing([buildEntry("a", 2), buildEntry("b", 3)]);
-    store.confirm({ era: 0, revision: 3 });
+    store.confirm({ era: 0, revision: 3 }, 1);
     store.applyListing([buildEntry("b", 3)]);
-    store.confirm({ era: 0, revision: 400 });
+    store.confirm({ era: 0, revision: 400 }, 1);
     t.strictSame(evacuations.listZones(), ["b"]);
 });
 
@@ -77,7 +77,7 @@
     const evacuations = createEvacuations(options);
     const store = createStoreEvacuations(createPlatformCodec(logger), evacuations, logger);
     store.applyListing([buildEntry("a", 2)]);
-    store.confirm({ era: 0, revision: 3 });
+    store.confirm({ era: 0, revision: 3 }, 1);
     t.equal(evacuations.isEvacuated("a"), false);
     t.equal(evacuations.buildReport(), undefined);
     t.equal(evacuations.isKnown(), true);
