--- a/src/direct/sendToEndpoint.ts
+++ b/src/direct/sendToEndpoint.ts
@@ -55,6 +55,7 @@
                 body: exchange.body,
                 attemptId: exchange.id,
                 onConnected: () => ticket.recordWrite(readMonotonicMs()),
+                canSend: () => canSendToZone(endpoint, context),
             },
             context.names,
             exchange.abortController.signal,
@@ -90,6 +91,11 @@
     }
 }
 
+/** An evacuation may have begun, or the process may have stood still, while the connection was opened. */
+function canSendToZone({ zone }: EndpointRecord, { evacuations }: DirectContext): boolean {
+    return !evacuations.isEvacuated(zone) && !evacuations.isReadNeeded();
+}
+
 function handleFailedCall(
     failed: FailedCall,
     endpoint: EndpointRecord,
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -21,9 +21,14 @@
 import type { DirectSettings } from "./DirectSettings.js";
 import { DirectoryChange, type EndpointDirectory, createEndpointDirectory } from "./EndpointDirectory.js";
 import { createEndpointNotices } from "./EndpointNotices.js";
-import { createEndpointCandidates, createLeavingRule, createPauseRule } from "./candidates/index.js";
+import { createEndpointCandidates, createHomeRule, createLeavingRule, createPauseRule } from "./candidates/index.js";
 import { createColdEndpoints, createColdRule } from "./cold/index.js";
-import { createEvacuationRule, createEvacuations, createUsableEndpoints } from "./evacuation/index.js";
+import {
+    createEvacuationRule,
+    createEvacuations,
+    createGuardedAdmission,
+    createUsableEndpoints,
+} from "./evacuation/index.js";
 import { createEndpointPauses } from "./EndpointPauses.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -102,6 +107,8 @@
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
         getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
+        countEvacuatedZones: () => context.evacuations.listZones().length,
+        getEvacuationAgeMs: () => context.evacuations.getAgeMs(),
         isReadingStore: () => knowledge.isReadingStore(),
     });
     if (context.outageGate !== undefined) {
@@ -213,6 +220,7 @@
     });
     const candidates = createEndpointCandidates(directory, [
         createEvacuationRule(evacuations),
+        createHomeRule(settings.zoneRegions ?? {}, zone => logger.logEvent(EventId.ZoneWithoutRegion, { zone })),
         createLeavingRule(notices),
         createPauseRule(pauses),
         createColdRule(cold),
@@ -231,6 +239,8 @@
                   logger,
               })
             : undefined;
+    const usable = createUsableEndpoints(directory, evacuations);
+    const admission = createRequestAdmission({ directory: usable, load, pace, limiter, candidates, cold });
     return {
         host: settings.host,
         zone: settings.zone,
@@ -240,14 +250,7 @@
         evacuations,
         load,
         pace,
-        admission: createRequestAdmission({
-            directory: createUsableEndpoints(directory, evacuations),
-            load,
-            pace,
-            limiter,
-            candidates,
-            cold,
-        }),
+        admission: settings.evacuateMs === undefined ? admission : createGuardedAdmission(admission, evacuations),
         cold,
         health,
         limiter,
