--- a/src/direct/outage/OutageGate.ts
+++ b/src/direct/outage/OutageGate.ts
@@ -118,7 +118,8 @@
         waitForTurn,
         planDelay,
         async recordLoss(exchange, endpoint) {
-            history.recordLoss(exchange.service, endpoint.id, readMonotonicMs());
+            const now = readMonotonicMs();
+            history.recordLoss(exchange.service, endpoint.id, exchange.lastEventAt ?? now, now);
             await waitFor(LOSS_HOLD_MS, exchange.abortController.signal);
         },
         recordAnswer: exchange => durations.recordAnswer(exchange),
--- a/src/scheduling/OutageHistory.ts
+++ b/src/scheduling/OutageHistory.ts
@@ -16,7 +16,7 @@
     isOut: boolean;
     /** Time for which the outage has lasted, in milliseconds. */
     lastedMs: number;
-    /** The outage was forgotten for lack of evidence; whether and when it ended is unknown. */
+    /** The outage was forgotten: nothing showed any more that it lasts, or it was only suspected. */
     hasLapsed: boolean;
 }
 
@@ -24,8 +24,17 @@
 export interface OutageHistory {
     /** Detector of this router, whose records also reach the history. */
     readonly detector: OutageDetector;
-    /** Records that an endpoint broke off a request that it had accepted. */
-    recordLoss(service: string, endpoint: string, now: number): void;
+    /**
+     * Records that an endpoint broke off a request that it had accepted.
+     * @param silentFrom - Time of the last event of the request, from which the endpoint had stopped.
+     */
+    recordLoss(service: string, endpoint: string, silentFrom: number, now: number): void;
+    /** Records that all streams of a service are silent, as when a group stalls before it breaks them off. */
+    recordStall(service: string, silentFrom: number, now: number): void;
+    /** Records that a stream of a service goes on, which ends an outage that was only suspected. */
+    recordProgress(service: string, now: number): void;
+    /** Tells whether an outage is suspected only because all streams are silent. */
+    isStalled(service: string): boolean;
     /** Gets the monotonic time at which the outage in progress began, in milliseconds; undefined if there is none. */
     getBegan(service: string, now: number): number | undefined;
     /** Gets the monotonic time at which the last outage ended, in milliseconds; undefined if none did. */
@@ -56,6 +65,8 @@
 const LOSS_POINTS = 2;
 const MIN_POINTS = 3;
 const MIN_LOSS_ENDPOINTS = 2;
+/** Time for which an outage is suspected because streams are silent, in milliseconds: a stalled group breaks them off by then. */
+const MAX_STALL_MS = 2_000;
 /** Time without a rejection or a report after which an outage is forgotten, in milliseconds; probes are more frequent. */
 const EVIDENCE_EXPIRY_MS = 3_000;
 /** Number of other routers whose reports are believed without a rejection seen by this router. */
@@ -89,8 +100,10 @@
     evidenceAt: number;
     rejectedAt: number;
     acceptedAt: number;
+    /** Time from which the outage in progress is suspected only because all streams are silent. */
+    stalledAt: number | undefined;
     /** Rejections and broken streams since the last acceptance, if one was broken lately. */
-    losses: { startedAt: number; points: number; endpoints: Set<string> } | undefined;
+    losses: { startedAt: number; silentFrom: number; points: number; endpoints: Set<string> } | undefined;
     /** Time of the last report of an outage in progress, by router. */
     reporters: Map<string, number>;
     past: PastOutage[];
@@ -118,11 +131,30 @@
                 recordAcceptance(service, options.readNow());
             },
         },
-        recordLoss(service, endpoint, now) {
+        recordLoss(service, endpoint, silentFrom, now) {
             own.recordRejection(service, endpoint, now);
             addPoints(service, endpoint, LOSS_POINTS, now);
+            const { losses } = getState(service);
+            if (losses !== undefined) {
+                losses.silentFrom = Math.min(losses.silentFrom, Math.max(silentFrom, now - MAX_STALL_MS));
+            }
             recordEvidence(service, now);
         },
+        recordStall(service, silentFrom, now) {
+            const state = getState(service);
+            if (state.beganAt === undefined && silentFrom > state.acceptedAt && now - silentFrom < MAX_STALL_MS) {
+                state.stalledAt = now;
+                state.evidenceAt = now;
+                beginOutage(service, state, silentFrom, OutageSource.Own, now);
+            }
+        },
+        recordProgress(service, now) {
+            const state = services.get(service);
+            if (state?.stalledAt !== undefined) {
+                forgetOutage(service, state, now);
+            }
+        },
+        isStalled: service => services.get(service)?.stalledAt !== undefined,
         getBegan,
         getEnded: service => services.get(service)?.past.at(-1)?.endedAt,
         listDurations: service => (services.get(service)?.past ?? []).map(({ beganAt, endedAt }) => endedAt - beganAt),
@@ -143,6 +175,7 @@
                 evidenceAt: never,
                 rejectedAt: never,
                 acceptedAt: never,
+                stalledAt: undefined,
                 losses: undefined,
                 reporters: new Map(),
                 past: [],
@@ -159,7 +192,7 @@
             state.losses = undefined;
         }
         if (points >= LOSS_POINTS) {
-            state.losses ??= { startedAt: now, points: 0, endpoints: new Set() };
+            state.losses ??= { startedAt: now, silentFrom: now, points: 0, endpoints: new Set() };
         }
         if (state.losses !== undefined) {
             state.losses.points += points;
@@ -171,6 +204,7 @@
         const state = getState(service);
         state.rejectedAt = now;
         state.evidenceAt = now;
+        state.stalledAt = undefined;
         const beganAt = findLossOutage(state) ?? own.getBegan(service, now);
         if (state.beganAt === undefined && beganAt !== undefined) {
             beginOutage(service, state, beganAt, OutageSource.Own, now);
@@ -188,13 +222,22 @@
 
     function getBegan(service: string, now: number): number | undefined {
         const state = services.get(service);
-        if (state?.beganAt !== undefined && now - state.evidenceAt > EVIDENCE_EXPIRY_MS) {
-            const lastedMs = now - state.beganAt;
-            state.beganAt = undefined;
-            state.reporters.clear();
-            options.onChange({ service, source: OutageSource.Own, isOut: false, lastedMs, hasLapsed: true });
+        if (state?.beganAt === undefined) {
+            return undefined;
+        }
+        const expiryMs = state.stalledAt === undefined ? EVIDENCE_EXPIRY_MS : MAX_STALL_MS;
+        if (now - state.evidenceAt > expiryMs) {
+            forgetOutage(service, state, now);
         }
-        return state?.beganAt;
+        return state.beganAt;
+    }
+
+    function forgetOutage(service: string, state: ServiceState, now: number): void {
+        const lastedMs = now - (state.beganAt ?? now);
+        state.beganAt = undefined;
+        state.stalledAt = undefined;
+        state.reporters.clear();
+        options.onChange({ service, source: OutageSource.Own, isOut: false, lastedMs, hasLapsed: true });
     }
 
     function beginOutage(
@@ -214,6 +257,10 @@
         if (beganAt === undefined) {
             return;
         }
+        if (state.stalledAt !== undefined) {
+            forgetOutage(service, state, now);
+            return;
+        }
         state.beganAt = undefined;
         state.reporters.clear();
         own.recordAcceptance(service);
@@ -262,6 +309,7 @@
         state.reporters.set(peer, now);
         if (state.beganAt !== undefined) {
             state.beganAt = Math.min(state.beganAt, beganAt);
+            state.stalledAt = undefined;
             state.evidenceAt = now;
             return;
         }
@@ -285,7 +333,7 @@
 /** Gets the time of the first broken stream, if streams and rejections of several endpoints show an outage. */
 function findLossOutage({ losses }: ServiceState): number | undefined {
     const isOut = losses !== undefined && losses.points >= MIN_POINTS && losses.endpoints.size >= MIN_LOSS_ENDPOINTS;
-    return isOut ? losses.startedAt : undefined;
+    return isOut ? losses.silentFrom : undefined;
 }
 
 function buildReport(service: string, beganAt: number, endedAt: number | undefined, now: number): OutageReport {
--- a/src/scheduling/OutagePlan.ts
+++ b/src/scheduling/OutagePlan.ts
@@ -46,11 +46,8 @@
 const HELD_COST_PER_MS = 0.1 / 1_000;
 /** Share of the target for which a request may be held without a cost. */
 const FREE_HOLD_SHARE = 1 / 8;
-/**
- * Durations that are expected before any outage was seen, in milliseconds from the first cut stream, which comes 1.5 s after
- * the fault: a crashed rank is back after 2 to 3 s in all, a lost zone after 5 to 6.5 s.
- */
-const USUAL_DURATIONS_MS = [500, 1_000, 1_500, 3_500, 4_000, 4_500, 5_000];
+/** Durations that are expected before any outage was seen, in milliseconds: of a crashed rank, and of a lost zone. */
+const USUAL_DURATIONS_MS = [2_000, 2_500, 3_000, 5_000, 5_500, 6_000, 6_500];
 /** Weight of each of these, in outages that were seen. */
 const USUAL_WEIGHT = 0.15;
 /** Variation of the end around an earlier duration, as shares of the duration: the endpoints' start differs each time. */
--- a/src/scheduling/OutageQueue.ts
+++ b/src/scheduling/OutageQueue.ts
@@ -45,7 +45,7 @@
 /** Options of the queue. */
 export interface OutageQueueOptions {
     service: string;
-    history: Pick<OutageHistory, "getBegan" | "getEnded" | "listDurations">;
+    history: Pick<OutageHistory, "getBegan" | "getEnded" | "listDurations" | "isStalled">;
     /** Counts the slots of the candidates that are not in use, as far as known. */
     countFreeSlots: () => number;
     countSlots: () => number;
@@ -57,6 +57,8 @@
     getDurations: () => Pick<OutageOutlook, "firstEventMs" | "runMs">;
     /** Compares requests; the one that goes first is less. By default those that came back or can be in time go first. */
     compare?: (left: OutageRequest, right: OutageRequest, firstByAt: number) => number;
+    /** Plans what to do with a request during an outage; replaced to compare other plans. */
+    plan?: typeof planOutageStep;
     maxWaiting: number;
     drawRandom: () => number;
 }
@@ -73,6 +75,11 @@
 const LAST_PROBE_MS = 250;
 /** Time after an outage in which requests are let in at the pace of the service, in milliseconds. */
 const RETURN_MS = 1_500;
+/**
+ * Share of the slots that late requests leave free: routers don't know what the others send in the same moment, so that some
+ * endpoints get more than others, and new requests that can be in time are worth more.
+ */
+const RESERVED_SHARE = 0.25;
 /** Utilization below which a request that has waited is sent rather than refused: refusing it then is a fault. */
 const REFUSAL_MIN_UTILIZATION = 0.5;
 
@@ -83,6 +90,7 @@
 export function createOutageQueue<Entry extends QueuedOutageRequest>(options: OutageQueueOptions): OutageQueue<Entry> {
     const { service, history } = options;
     const compare = options.compare ?? compareAfterOutage;
+    const plan = options.plan ?? planOutageStep;
     const waiting = new Set<Entry>();
     let probedAt = Number.NEGATIVE_INFINITY;
     let lastStartAt = Number.POSITIVE_INFINITY;
@@ -105,7 +113,7 @@
     }
 
     function offerInOutage(entry: Entry, beganAt: number, now: number): OutageAction | undefined {
-        const step = planOutageStep(entry.request, buildOutlook(beganAt, now));
+        const step = plan(entry.request, buildOutlook(beganAt, now));
         const waits = step.isWaiting && now < lastStartAt && waiting.size < options.maxWaiting;
         // A request that can't be served can still tell whether the outage has ended.
         if (isProbeDue(now) && (!waits || entry.sendsLeft > 1)) {
@@ -119,7 +127,7 @@
     }
 
     function offerAfterOutage(entry: Entry, now: number): OutageAction | undefined {
-        if (!isReturning(now) || (waiting.size === 0 && takeCredit(now))) {
+        if (!isReturning(now) || canBeInTime(entry, now) || (waiting.size === 0 && takeCredit(now))) {
             return { isSent: true, isProbe: false };
         }
         if (computeWaitEnd(entry) <= now || waiting.size >= options.maxWaiting) {
@@ -129,6 +137,11 @@
         return undefined;
     }
 
+    /** Such a request doesn't wait for a turn, as it would be late after it, and is worth more than those that are late. */
+    function canBeInTime({ request }: Entry, now: number): boolean {
+        return request.targetAt >= now + options.getDurations().firstEventMs;
+    }
+
     /** Requests that wait go on being let in by turns, however long that takes. */
     function isReturning(now: number): boolean {
         const endedAt = history.getEnded(service) ?? Number.NEGATIVE_INFINITY;
@@ -176,7 +189,7 @@
         const order = [...waiting].sort((left, right) => compare(left.request, right.request, now + firstEventMs));
         const decisions: OutageDecision<Entry>[] = [];
         for (const entry of order) {
-            if (takeCredit(now)) {
+            if (canBeInTime(entry, now) || takeCredit(now)) {
                 decisions.push({ entry, action: { isSent: true, isProbe: false } });
             } else if (computeWaitEnd(entry) <= now) {
                 decisions.push({ entry, action: finishAfterOutage(entry, now) });
@@ -209,6 +222,10 @@
     }
 
     function isProbeDue(now: number): boolean {
+        if (history.isStalled(service)) {
+            // A stalled group neither rejects nor serves a probe, but may run it.
+            return false;
+        }
         const intervalMs = options.countRouters() * FLEET_PROBE_INTERVAL_MS;
         const boundedMs = Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, intervalMs));
         return now - probedAt >= boundedMs;
@@ -224,7 +241,9 @@
         const endedAt = history.getEnded(service) ?? Number.NEGATIVE_INFINITY;
         if (windowAt < endedAt || now - windowAt >= options.getSpreadMs()) {
             windowAt = now;
-            credit = Math.floor(options.countFreeSlots() / options.countRouters() + options.drawRandom());
+            const reserved = RESERVED_SHARE * options.countSlots();
+            const free = Math.max(0, options.countFreeSlots() - reserved);
+            credit = Math.floor(free / options.countRouters() + options.drawRandom());
         }
         if (credit < 1) {
             return false;
