--- a/bench/runBench.ts
+++ b/bench/runBench.ts
@@ -6,6 +6,7 @@
 import { runControl, runSpread } from "./control/controlBench.js";
 import { runRelay } from "./relay/relayBench.js";
 import { runRebalance } from "./groups/rebalanceBench.js";
+import { runAdmission } from "./scheduling/admissionBench.js";
 import { runFairness, runFlood, runSlowEndpoint, runStorm } from "./scheduling/benches.js";
 
 const BENCHES: Record<string, Bench> = {
@@ -13,6 +14,7 @@
     fairness: runFairness,
     storm: runStorm,
     "slow-endpoint": runSlowEndpoint,
+    admission: runAdmission,
     rebalance: runRebalance,
     relay: runRelay,
     claims: runClaims,
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -13,3 +13,7 @@
 export * from "./ConcurrencyLimiter.js";
 export * from "./SharedRateLimiter.js";
 export * from "./turnChance.js";
+export * from "./AdmissionLevels.js";
+export * from "./RequestValue.js";
+export * from "./WorkDistribution.js";
+export * from "./slotChance.js";
