Admission by cost: order by work for worth, a level that routers share, and free slots by a shared chance

Cause: in a shortage, requests queue in the engines in order of arrival, and routers that know each other's load late send to the same free slots. Change: with the setting admissionByCost and an engine whose memory is known, requests wait at the router, ordered by their work for their worth. A freed slot stays with the router whose request ended; others are used by a chance that all share. Routers gossip level, waiting requests and admissions a second of each service.

--- a/bench/scheduling/admissionSimulation.ts
+++ b/bench/scheduling/admissionSimulation.ts
@@ -113,7 +113,7 @@
     play.requests.forEach(request =>
         queue.schedule(request.arrivesAt, () => handleArrival(request, false, request.arrivesAt + DEADLINE_MS)),
     );
-    queue.schedule(0, exchangeNews);
+    queue.schedule(0, spreadNews);
     queue.runUntil((play.requests.at(-1)?.arrivesAt ?? 0) + DEADLINE_MS);
     return result;
 
@@ -130,9 +130,9 @@
         };
     }
 
-    function exchangeNews(): void {
+    function spreadNews(): void {
         const now = queue.getNow();
-        queue.schedule(now + GOSSIP_MS, exchangeNews);
+        queue.schedule(now + GOSSIP_MS, spreadNews);
         if (now >= (play.silentFrom ?? Number.POSITIVE_INFINITY)) {
             totals = engines.map(() => 0);
             routers.forEach(router => (router.reported = engines.map(() => 0)));
@@ -171,7 +171,7 @@
         const { targetMs } = KINDS[request.kind] as (typeof KINDS)[number];
         const workMs = computeSlotMs(request.promptTokens, request.announcedTokens);
         const value: WaitingValue = {
-            ...router.valuer.valueRequest({ urgency: request.kind, workMs, isReturned }),
+            ...router.valuer.computeValue({ urgency: request.kind, workMs, isReturned }),
             urgency: request.kind,
             isReturned,
             workMs,
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -215,12 +215,14 @@
             ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
+            admission: context.admission.byCost?.levels.listReports(isToOtherZones, readMonotonicMs()),
             isLeaving,
         };
     }
 
     function handleMessage(message: GossipMessage): void {
         const now = readMonotonicMs();
+        recordAdmission(message, now);
         if (message.isZoneLoad) {
             load.setZoneLoad(message.zone, message.load, now);
             limiter.setUsage(message.zone, true, message, now);
@@ -244,6 +246,12 @@
         fallback.handleMessage(message);
     }
 
+    function recordAdmission({ admission, isZoneLoad, zone, address }: GossipMessage, now: number): void {
+        if (admission !== undefined && (isZoneLoad || zone === settings.zone)) {
+            context.admission.byCost?.levels.setReports(isZoneLoad ? zone : address, isZoneLoad, admission, now);
+        }
+    }
+
     function isDocumentUsable(): boolean {
         const upMs = readMonotonicMs() - startedAt;
         const hasHeard = gossip.hasRecent(MAX_PEER_MESSAGE_AGE_MS) || upMs >= FIRST_HEARING_FRACTION * settings.applyMs;
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -1,4 +1,5 @@
 import type { CallResult } from "../platform/index.js";
+import type { AdmissionDecision } from "./admission/index.js";
 import { Outcome } from "../protocol/index.js";
 import { type MetricSet, createMetricSet } from "../telemetry/MetricSet.js";
 import type { SettledDirectExchange } from "./CallerServer.js";
@@ -11,6 +12,8 @@
     set: MetricSet;
     /** Records an exchange that has ended. */
     recordSettled(settled: SettledDirectExchange): void;
+    /** Counts a decision of the admission by cost. */
+    recordDecision(service: string, decision: AdmissionDecision): void;
     /** Counts a call to the platform's store. */
     recordStoreCall(operation: string, result: CallResult): void;
 }
@@ -34,6 +37,8 @@
     countLimited(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
+    /** Lists the levels of the admission by cost. */
+    listAdmissionLevels(): { service: string; level: number }[];
 }
 
 const NO_TEAM = "none";
@@ -71,10 +76,15 @@
         "operation",
         "result",
     ]);
+    const decisions = set.addCounter(
+        { name: "auburnpass_admission_total", help: "Requests delayed and refused by admission by cost" },
+        ["service", "decision"],
+    );
     addStateGauges(set, state);
     return {
         set,
         recordSettled,
+        recordDecision: (service, decision) => decisions.addAmount({ service, decision }),
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
     };
 
@@ -130,6 +140,11 @@
         { name: "auburnpass_document_behind_seconds", help: "Time for which a higher version has been known" },
         () => state.getDocumentBehindMs() / MS_PER_SECOND,
     );
+    set.addGauges(
+        { name: "auburnpass_admission_level", help: "Admission level: 0 keeps all requests, 1 none" },
+        ["service"],
+        () => state.listAdmissionLevels().map(({ service, level }) => ({ labels: { service }, value: level })),
+    );
     set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
         state.isReadingStore() ? 1 : 0,
     );
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -46,6 +46,8 @@
     evacuateMs: z.number().min(1).optional(),
     /** How far the requests to a cold endpoint may exceed the rate that its service names. */
     cold: z.strictObject({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
+    /** Whether requests to engines are admitted by their work and worth when there is too little room; not if absent. */
+    admissionByCost: z.boolean().optional(),
     /** What this host gives the process; absent fields are unknown. */
     resources: z
         .strictObject({
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -3,6 +3,7 @@
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
 import type { EndpointCandidates, RequestDemand } from "./candidates/index.js";
+import type { CostAdmission } from "./admission/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -26,10 +27,12 @@
     ): Promise<readonly EndpointRecord[] | undefined>;
     /** Records the time from the send to the first event, in milliseconds. */
     recordFirstEvent(service: string, firstMs: number): void;
-    /** Records the end of a request, which may free capacity for a queued one. */
-    recordRequestEnd(service: string): void;
+    /** Records the end of a request at an endpoint, which may free capacity for a queued one. */
+    recordRequestEnd(service: string, endpoint: string): void;
     /** Computes the share of a service's slots that are in use; requests queued at an endpoint are not counted. */
     computeUtilization(service: string): number;
+    /** Admission by cost; undefined if the settings don't call for it. */
+    byCost: CostAdmission | undefined;
 }
 
 /** Options of the admission. */
@@ -39,6 +42,11 @@
     pace: ConcurrencyLimiter;
     limiter: SharedRateLimiter;
     candidates: EndpointCandidates;
+    /**
+     * Creates the admission by cost; absent if the settings don't call for it.
+     * @param getFirstEventMs - Gets the average time from a send to the first event of a service, in milliseconds.
+     */
+    createByCost?: ((getFirstEventMs: (service: string) => number) => CostAdmission) | undefined;
 }
 
 interface QueuedRequest {
@@ -70,7 +78,8 @@
     const polledServices = new Set<string>();
     const averageFirstEventMs = new Map<string, number>();
     let admissions = 0;
-    return { waitForEndpoints, recordFirstEvent, recordRequestEnd: admitQueued, computeUtilization };
+    const byCost = options.createByCost?.(getAverageFirstEventMs);
+    return { waitForEndpoints, recordFirstEvent, recordRequestEnd, computeUtilization, byCost };
 
     function waitForEndpoints(
         exchange: RoutedExchange,
@@ -78,6 +87,9 @@
         isFirst: boolean,
     ): Promise<readonly EndpointRecord[] | undefined> {
         const { service, route } = exchange;
+        if (isFirst && byCost?.isActive(exchange)) {
+            return byCost.waitForEndpoints(exchange);
+        }
         const now = readMonotonicMs();
         const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
@@ -177,6 +189,11 @@
         return [...queued].sort(order)[0];
     }
 
+    function recordRequestEnd(service: string, endpoint: string): void {
+        admitQueued(service);
+        byCost?.recordRequestEnd(service, endpoint);
+    }
+
     function recordFirstEvent(service: string, firstMs: number): void {
         averageFirstEventMs.set(
             service,
--- /dev/null
+++ b/src/direct/admission/index.ts
@@ -0,0 +1,2 @@
+export * from "./AdmissionDecision.js";
+export * from "./CostAdmission.js";
--- a/src/direct/sendToEndpoint.ts
+++ b/src/direct/sendToEndpoint.ts
@@ -59,7 +59,7 @@
         return end;
     } finally {
         context.load.endRequest(endpoint.id);
-        context.admission.recordRequestEnd(exchange.service);
+        context.admission.recordRequestEnd(exchange.service, endpoint.id);
         const now = readMonotonicMs();
         recordFirstEventTime(exchange, context, sentAt);
         exchange.attempts.push({
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -32,6 +32,7 @@
 import type { RouteIndex } from "./RouteIndex.js";
 import { createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
+import { type AdmissionDecision, type CostAdmission, createCostAdmission } from "./admission/index.js";
 import { createRequestAdmission } from "./RequestAdmission.js";
 import { buildDirectControl } from "./directControl.js";
 import { createFindRoute } from "./filters/findRoute.js";
@@ -82,6 +83,7 @@
         announceNews: () => knowledge.announceNews(),
         getSpreadMs: () => knowledge.getSpreadMs(),
         hearsOthers: () => knowledge.hearsOthers(),
+        recordDecision: (service, decision) => metrics.recordDecision(service, decision),
     });
     const metrics: DirectMetrics = createDirectMetrics({
         countActiveRequests: () => callers.countActiveRequests(),
@@ -94,6 +96,7 @@
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
         getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
         isReadingStore: () => knowledge.isReadingStore(),
+        listAdmissionLevels: () => context.admission.byCost?.levels.listLevels() ?? [],
     });
     const service = createCountedService(platform.service, metrics.recordStoreCall);
     const callers = buildCallerServer(context, getServedIndex, metrics, () => knowledge.isDocumentStale());
@@ -142,7 +145,7 @@
     knowledge: Pick<
         ClusterView,
         "getPeakRouterCount" | "getEndpointAgeMs" | "getStoreUptimeMs" | "announceNews" | "getSpreadMs" | "hearsOthers"
-    >,
+    > & { recordDecision: (service: string, decision: AdmissionDecision) => void },
 ): DirectContext {
     const health = createEndpointHealth();
     const { lapseGraceMs, entryLifetimeMs } = settings;
@@ -171,7 +174,14 @@
         candidates,
         load,
         pace,
-        admission: createRequestAdmission({ directory, load, pace, limiter, candidates }),
+        admission: createRequestAdmission({
+            directory,
+            load,
+            pace,
+            limiter,
+            candidates,
+            createByCost: settings.admissionByCost === true ? createByCost : undefined,
+        }),
         health,
         limiter,
         notices,
@@ -193,6 +203,21 @@
         drawRandom: Math.random,
     };
 
+    function createByCost(getFirstEventMs: (service: string) => number): CostAdmission {
+        return createCostAdmission({
+            load,
+            pace,
+            limiter,
+            candidates,
+            getFirstEventMs,
+            getSpreadMs: knowledge.getSpreadMs,
+            hasPeers: () => knowledge.getPeakRouterCount() > 1,
+            drawRandom: Math.random,
+            onDecision: knowledge.recordDecision,
+            logger,
+        });
+    }
+
     function recordChange(change: DirectoryChange, record: EndpointRecord, source: string): void {
         if (change === DirectoryChange.Removed || change === DirectoryChange.Restarted) {
             health.forget(record.id);
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -1,7 +1,7 @@
 import dgram from "node:dgram";
 import { z } from "zod";
 import { UNKNOWN_ERA } from "../platform/index.js";
-import { limitReportSchema, partReportSchema } from "../scheduling/index.js";
+import { levelReportSchema, limitReportSchema, partReportSchema } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
 import { type Loop, readMonotonicMs, startLoop } from "../utils/time.js";
@@ -42,6 +42,8 @@
     pauses: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Attempts per second to find an endpoint of a service with such limits. */
     attempts: z.record(z.string(), z.number()).default({}),
+    /** Queues by service, of the sender or of its zone; absent if it doesn't admit by cost. One that can't be read is ignored. */
+    admission: z.record(z.string(), levelReportSchema).optional().catch(undefined),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
     routers: z.array(z.ipv4()),
     /** Zones of these routers, in the same order. */
--- a/src/scheduling/AdmissionLevels.ts
+++ b/src/scheduling/AdmissionLevels.ts
@@ -33,8 +33,8 @@
     updateLevel(service: string, state: QueueState, now: number): number;
     /** Gets the level that was computed last. */
     getLevel(service: string): number;
-    /** Lists the services that have a level, or had one since the start. */
-    listServices(): string[];
+    /** Lists the levels that were computed last. */
+    listLevels(): { service: string; level: number }[];
     /** Sums up the waiting requests and the admissions per second of all routers that are heard, this one included. */
     sumDemand(service: string, now: number): Pick<SlotDemand, "waiting" | "perSecond">;
     /** Tells whether the last update had a report of another router. */
@@ -91,7 +91,7 @@
         recordAdmission,
         updateLevel,
         getLevel: service => levels.get(service)?.level ?? 0,
-        listServices: () => [...levels.keys()],
+        listLevels: () => [...levels].map(([service, { level }]) => ({ service, level })),
         sumDemand,
         hasNews: (service, now) => listOthers(service, now, true).length > 0,
         listReports,
--- a/src/scheduling/RequestValue.ts
+++ b/src/scheduling/RequestValue.ts
@@ -20,7 +20,7 @@
 
 /** Values the requests of one service by what they cost for what they are worth. */
 export interface RequestValuer {
-    valueRequest(request: ValuedRequest): RequestValue;
+    computeValue(request: ValuedRequest): RequestValue;
 }
 
 /** Worth of a request over that of one of the next lower urgency. The configuration tells only the order. */
@@ -46,9 +46,9 @@
     const works = new Map<number, WorkDistribution>();
     const costs = createWorkDistribution();
     let urgencies: number[] = [];
-    return { valueRequest };
+    return { computeValue };
 
-    function valueRequest({ urgency, workMs, isReturned }: ValuedRequest): RequestValue {
+    function computeValue({ urgency, workMs, isReturned }: ValuedRequest): RequestValue {
         const work = getWorks(urgency);
         const isUrgencyBlind = drawRandom() < URGENCY_BLIND_SHARE;
         const isSizeBlind = drawRandom() < SIZE_BLIND_SHARE;
--- a/src/telemetry/MetricSet.ts
+++ b/src/telemetry/MetricSet.ts
@@ -14,6 +14,12 @@
     help: string;
 }
 
+/** Value of a gauge with labels. */
+export interface LabeledValue {
+    labels: Labels;
+    value: number;
+}
+
 /** Metrics of a process that keeps plain sums and loads the metrics library at the first scrape. */
 export interface MetricSet extends MetricsSource {
     addCounter(metric: MetricName, labels: readonly string[]): SeriesTally;
@@ -21,6 +27,8 @@
     addDurations(metric: MetricName, labels: readonly string[]): DurationTally;
     /** Adds a value that is read at each scrape. */
     addGauge(metric: MetricName, read: () => number): void;
+    /** Adds values by label values that are listed at each scrape. */
+    addGauges(metric: MetricName, labels: readonly string[], list: () => LabeledValue[]): void;
 }
 
 /** Bounds of the buckets in seconds, from a plain service's answer up to the longest patience of a caller. */
@@ -37,6 +45,7 @@
         addCounter,
         addDurations,
         addGauge,
+        addGauges,
         async renderText() {
             registry ??= createRegistry();
             return (await registry).metrics();
@@ -84,6 +93,20 @@
         }
     }
 
+    function addGauges(metric: MetricName, labelNames: readonly string[], list: () => LabeledValue[]): void {
+        registrations.push((library, loaded) => {
+            new library.Gauge({
+                ...metric,
+                labelNames: [...labelNames],
+                registers: [loaded],
+                collect() {
+                    this.reset();
+                    list().forEach(({ labels, value }) => this.set(labels, value));
+                },
+            });
+        });
+    }
+
     function addGauge(metric: MetricName, read: () => number): void {
         registrations.push((library, loaded) => {
             new library.Gauge({
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -141,7 +141,7 @@
         }
     });
     ["1", "2"].forEach(() => load.endRequest("i-1"));
-    admission.recordRequestEnd("llm");
+    admission.recordRequestEnd("llm", "i-1");
     await Promise.all(waits);
     t.strictSame(order, [0], "one free slot admits one request; the others are refused at their deadline");
 });
