--- a/bench/runBench.ts
+++ b/bench/runBench.ts
@@ -7,6 +7,7 @@
 import { runRelay } from "./relay/relayBench.js";
 import { runRebalance } from "./groups/rebalanceBench.js";
 import { runOutageReturn } from "./scheduling/outageBench.js";
+import { runAdmission } from "./scheduling/admissionBench.js";
 import { runFairness, runFlood, runSlowEndpoint, runStorm } from "./scheduling/benches.js";
 
 const BENCHES: Record<string, Bench> = {
@@ -15,6 +16,7 @@
     storm: runStorm,
     "slow-endpoint": runSlowEndpoint,
     "outage-return": runOutageReturn,
+    admission: runAdmission,
     rebalance: runRebalance,
     relay: runRelay,
     claims: runClaims,
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -1,4 +1,5 @@
 import type { CallResult } from "../platform/index.js";
+import type { AdmissionDecision } from "./admission/index.js";
 import { Outcome } from "../protocol/index.js";
 import { type MetricSet, createMetricSet } from "../telemetry/MetricSet.js";
 import type { SettledDirectExchange } from "./CallerServer.js";
@@ -11,6 +12,8 @@
     set: MetricSet;
     /** Records an exchange that has ended. */
     recordSettled(settled: SettledDirectExchange): void;
+    /** Counts a decision of the admission by cost. */
+    recordDecision(service: string, decision: AdmissionDecision): void;
     /** Counts a call to the platform's store. */
     recordStoreCall(operation: string, result: CallResult): void;
     /** Counts a request that was held back at the moment of its send, as the endpoint is cold. */
@@ -41,6 +44,8 @@
     getEvacuationAgeMs(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
+    /** Lists the levels of the admission by cost. */
+    listAdmissionLevels(): { service: string; level: number }[];
 }
 
 const NO_TEAM = "none";
@@ -82,10 +87,15 @@
         { name: "auburnpass_sends_held_back_total", help: "Sends that waited because the endpoint is cold" },
         ["service"],
     );
+    const decisions = set.addCounter(
+        { name: "auburnpass_admission_total", help: "Requests delayed and refused by admission by cost" },
+        ["service", "decision"],
+    );
     addStateGauges(set, state);
     return {
         set,
         recordSettled,
+        recordDecision: (service, decision) => decisions.addAmount({ service, decision }),
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
         recordHeldBack: service => heldBack.addAmount({ service }),
     };
@@ -152,6 +162,11 @@
         { name: "auburnpass_evacuation_age_seconds", help: "Time since the store last confirmed the evacuated zones" },
         () => state.getEvacuationAgeMs() / MS_PER_SECOND,
     );
+    set.addGauges(
+        { name: "auburnpass_admission_level", help: "Admission level: 0 keeps all requests, 1 none" },
+        ["service"],
+        () => state.listAdmissionLevels().map(({ service, level }) => ({ labels: { service }, value: level })),
+    );
     set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
         state.isReadingStore() ? 1 : 0,
     );
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -48,6 +48,8 @@
     cold: z.strictObject({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
     /** Streams of engine groups wait for the end of an outage of their group; absent: they are refused. */
     outageReturn: z.boolean().optional(),
+    /** Whether requests to engines are admitted by their work and worth when there is too little room; not if absent. */
+    admissionByCost: z.boolean().optional(),
     /** What this host gives the process; absent fields are unknown. */
     resources: z
         .strictObject({
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -4,6 +4,7 @@
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
 import { type EndpointCandidates, ExclusionReason, type RequestDemand } from "./candidates/index.js";
 import type { ColdEndpoints } from "./cold/index.js";
+import type { CostAdmission } from "./admission/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -27,10 +28,12 @@
     ): Promise<readonly EndpointRecord[] | undefined>;
     /** Records the time from the send to the first event, in milliseconds. */
     recordFirstEvent(service: string, firstMs: number): void;
-    /** Records the end of a request, which may free capacity for a queued one. */
-    recordRequestEnd(service: string): void;
+    /** Records the end of a request at an endpoint, which may free capacity for a queued one. */
+    recordRequestEnd(service: string, endpoint: string): void;
     /** Computes the share of a service's slots that are in use; requests queued at an endpoint are not counted. */
     computeUtilization(service: string): number;
+    /** Admission by cost; undefined if the settings don't call for it. */
+    byCost: CostAdmission | undefined;
 }
 
 /** Options of the admission. */
@@ -42,6 +45,11 @@
     limiter: SharedRateLimiter;
     candidates: EndpointCandidates;
     cold: Pick<ColdEndpoints, "estimateTurns" | "hasCold">;
+    /**
+     * Creates the admission by cost; absent if the settings don't call for it.
+     * @param getFirstEventMs - Gets the average time from a send to the first event of a service, in milliseconds.
+     */
+    createByCost?: ((getFirstEventMs: (service: string) => number) => CostAdmission) | undefined;
 }
 
 interface QueuedRequest {
@@ -73,7 +81,8 @@
     const polledServices = new Set<string>();
     const averageFirstEventMs = new Map<string, number>();
     let admissions = 0;
-    return { waitForEndpoints, recordFirstEvent, recordRequestEnd: admitQueued, computeUtilization };
+    const byCost = options.createByCost?.(getAverageFirstEventMs);
+    return { waitForEndpoints, recordFirstEvent, recordRequestEnd, computeUtilization, byCost };
 
     function waitForEndpoints(
         exchange: RoutedExchange,
@@ -82,9 +91,12 @@
     ): Promise<readonly EndpointRecord[] | undefined> {
         const { service, route } = exchange;
         const now = readMonotonicMs();
+        const untried = listUntried(service, exchange.demand, tried, now);
+        if (isFirst && untried.length > 0 && byCost?.isActive(exchange)) {
+            return byCost.waitForEndpoints(exchange);
+        }
         const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
-        const untried = listUntried(service, exchange.demand, tried, now);
         if (untried.length === 0 && !candidates.hasProspect(service, exchange.demand, now)) {
             return Promise.resolve([]);
         }
@@ -223,6 +235,11 @@
         return [...queued].sort(order)[0];
     }
 
+    function recordRequestEnd(service: string, endpoint: string): void {
+        admitQueued(service);
+        byCost?.recordRequestEnd(service, endpoint);
+    }
+
     function recordFirstEvent(service: string, firstMs: number): void {
         averageFirstEventMs.set(
             service,
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -41,6 +41,7 @@
 import type { RouteIndex } from "./RouteIndex.js";
 import { createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
+import { type AdmissionDecision, type CostAdmission, createCostAdmission } from "./admission/index.js";
 import { createRequestAdmission } from "./RequestAdmission.js";
 import { buildDirectControl } from "./directControl.js";
 import { createFindRoute } from "./filters/findRoute.js";
@@ -95,6 +96,7 @@
         announceNews: () => knowledge.announceNews(),
         getSpreadMs: () => knowledge.getSpreadMs(),
         hearsOthers: () => knowledge.hearsOthers(),
+        recordDecision: (service, decision) => metrics.recordDecision(service, decision),
     });
     const metrics: DirectMetrics = createDirectMetrics({
         countActiveRequests: () => callers.countActiveRequests(),
@@ -110,6 +112,7 @@
         countEvacuatedZones: () => context.evacuations.listZones().length,
         getEvacuationAgeMs: () => context.evacuations.getAgeMs(),
         isReadingStore: () => knowledge.isReadingStore(),
+        listAdmissionLevels: () => context.admission.byCost?.levels.listLevels() ?? [],
     });
     if (context.outageGate !== undefined) {
         addOutageGauges(metrics.set, context.outageGate);
@@ -171,6 +174,8 @@
     getColdBehavior(service: string): ColdBehavior | undefined;
     /** Counts a request that was held back at the moment of its send. */
     recordHeldBack(service: string): void;
+    /** Counts a decision of the admission by cost. */
+    recordDecision(service: string, decision: AdmissionDecision): void;
 }
 
 function createContext(
@@ -240,7 +245,15 @@
               })
             : undefined;
     const usable = createUsableEndpoints(directory, evacuations);
-    const admission = createRequestAdmission({ directory: usable, load, pace, limiter, candidates, cold });
+    const admission = createRequestAdmission({
+        directory: usable,
+        load,
+        pace,
+        limiter,
+        candidates,
+        cold,
+        createByCost: settings.admissionByCost === true ? createByCost : undefined,
+    });
     return {
         host: settings.host,
         zone: settings.zone,
@@ -274,6 +287,21 @@
         drawRandom: Math.random,
     };
 
+    function createByCost(getFirstEventMs: (service: string) => number): CostAdmission {
+        return createCostAdmission({
+            load,
+            pace,
+            limiter,
+            candidates,
+            getFirstEventMs,
+            getSpreadMs: knowledge.getSpreadMs,
+            hasPeers: () => knowledge.getPeakRouterCount() > 1,
+            drawRandom: Math.random,
+            onDecision: knowledge.recordDecision,
+            logger,
+        });
+    }
+
     function recordChange(change: DirectoryChange, record: EndpointRecord, source: string): void {
         if (change === DirectoryChange.Removed || change === DirectoryChange.Restarted) {
             health.forget(record.id);
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -1,7 +1,7 @@
 import dgram from "node:dgram";
 import { z } from "zod";
 import { UNKNOWN_ERA } from "../platform/index.js";
-import { limitReportSchema, partReportSchema } from "../scheduling/index.js";
+import { levelReportSchema, limitReportSchema, partReportSchema } from "../scheduling/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { compareByHash } from "../utils/digest.js";
 import { createRouterMembers } from "./RouterMembers.js";
@@ -48,6 +48,8 @@
     attempts: z.record(z.string(), z.number()).default({}),
     /** Evacuated availability zones; absent if the sender knows nothing of them, or is of an earlier version. */
     evacuations: evacuationReportSchema.optional(),
+    /** Queues by service, of the sender or of its zone; absent if it doesn't admit by cost. One that can't be read is ignored. */
+    admission: z.record(z.string(), levelReportSchema).optional().catch(undefined),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
     routers: z.array(z.ipv4()),
     /** Zones of these routers, in the same order. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -17,3 +17,7 @@
 export * from "./SharedRateLimiter.js";
 export * from "./turnChance.js";
 export * from "./coldAllowance.js";
+export * from "./AdmissionLevels.js";
+export * from "./RequestValue.js";
+export * from "./WorkDistribution.js";
+export * from "./slotChance.js";
