--- a/bench/soak/SoakChecker.ts
+++ b/bench/soak/SoakChecker.ts
@@ -1,7 +1,7 @@
 import { type CallerAttempt, CallKind } from "./SoakCallers.js";
-import { buildPlainAnswer, buildStreamAnswer } from "./SoakEndpoint.js";
+import { buildPlainAnswer, buildStreamAnswer, getZone } from "./SoakEndpoint.js";
 import { FaultKind, PLANNED, type PlayedFault } from "./SoakFaults.js";
-import { type Announcement, REVOKED_KEY } from "./SoakPlatform.js";
+import { type Announcement, EVACUATE_MS, REVOKED_KEY } from "./SoakPlatform.js";
 import type { EndpointRun, RunRecord } from "./RunRecord.js";
 
 /** What a soak saw. */
@@ -23,6 +23,10 @@
 const LATE_MS = 500;
 /** Time after the last fault in which the system recovers, in milliseconds. */
 const RECOVERY_MS = 12_000;
+/** Time in which the readers of the store learn of a change, in milliseconds. */
+const READ_MS = 500;
+/** Time from the send of a request to its arrival over a delayed link, in milliseconds. */
+const DELIVERY_MS = 500;
 const RECOVERED_PART = 0.95;
 const STATUS_SUCCESS = 200;
 const PROMISES = new Set([408, 421, 429, 503]);
@@ -42,6 +46,7 @@
             ...checkKey(attempt, seen),
         ]),
         ...checkLeaving(seen),
+        ...checkEvacuations(seen),
         ...checkPlanned(seen),
         ...checkTimes(seen),
         ...checkRecovery(seen),
@@ -112,6 +117,29 @@
         );
 }
 
+/** An evacuated zone gets nothing once the bound is over, from routers that stood still or lost the store as from all others. */
+function checkEvacuations({ announcements, record, faults }: SoakSeen): string[] {
+    const ends = announcements.filter(({ kind }) => kind === "withdrawn");
+    return announcements
+        .filter(({ kind }) => kind === "evacuated")
+        .flatMap(({ subject: zone, at }) => {
+            const end = ends.find(other => other.subject === zone && other.at > at)?.at ?? Number.POSITIVE_INFINITY;
+            const knownAt = findStoreReturn(at, faults) + EVACUATE_MS + DELIVERY_MS;
+            return record
+                .listAll()
+                .filter(run => getZone(run.endpoint) === zone && run.at > knownAt && run.at < end)
+                .map(run => `${run.attempt}: reached ${zone} ${Math.round(run.at - at)} ms after its evacuation`);
+        });
+}
+
+/** Finds the time at which some router could read what was written: that time, or the end of an outage that came before. */
+function findStoreReturn(at: number, faults: readonly PlayedFault[]): number {
+    const outages = [FaultKind.StoreDown, FaultKind.StoreRestored];
+    return faults
+        .filter(({ kind, from, until }) => outages.includes(kind) && from <= at + READ_MS && until >= at)
+        .reduce((latest, { until }) => Math.max(latest, until), at);
+}
+
 /** While only planned work is under way, a request that reached an endpoint gets its whole answer. */
 function checkPlanned({ attempts, record, faults }: SoakSeen): string[] {
     const unplanned = faults.filter(({ kind }) => !PLANNED.has(kind));
--- a/bench/soak/SoakEndpoint.ts
+++ b/bench/soak/SoakEndpoint.ts
@@ -46,6 +46,14 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_MISDIRECTED = 421;
 
+/** Availability zones of endpoints and routers. */
+export const ZONES = ["a", "b", "c"];
+
+/** Gets the availability zone of an endpoint from its identifier. */
+export function getZone(endpoint: string): string {
+    return ZONES[Number(endpoint.slice(endpoint.indexOf("-") + 1)) % ZONES.length] ?? "";
+}
+
 /** Builds the answer of a plain request, which names the attempt from end to end. */
 export function buildPlainAnswer(attempt: string): string {
     return `answer to ${attempt} ${"x".repeat(300)} end of ${attempt}`;
--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -1,6 +1,7 @@
 import { match } from "ts-pattern";
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import type { Random } from "../scheduling/Random.js";
+import { getZone } from "./SoakEndpoint.js";
 import type { SoakFleet, SoakRouter } from "./SoakFleet.js";
 import type { SoakPlatform } from "./SoakPlatform.js";
 
@@ -28,6 +29,8 @@
     EndpointLeaves = "endpoint-leaves",
     /** Planned: a team's key is taken away, and given back later. */
     KeyRevoked = "key-revoked",
+    /** Planned: an availability zone gets no requests for a time. */
+    ZoneEvacuated = "zone-evacuated",
 }
 
 /** A fault that was played; times are monotonic, in milliseconds. */
@@ -53,6 +56,8 @@
     random: Random;
     /** Draws the restores of the store, apart from the other faults, which stay those of their seed. */
     restoreRandom: Random;
+    /** Draws the evacuations, apart from the other faults too. */
+    evacuationRandom: Random;
     /** Mean time between two faults, in milliseconds. */
     meanGapMs: number;
 }
@@ -62,13 +67,20 @@
 const MOST_MS = 3_000;
 /** Mean time between two restores of the store, in milliseconds; some follow one another closely. */
 const MEAN_RESTORE_GAP_MS = 5_000;
+/** Mean time between two evacuations, in milliseconds; some overlap. */
+const MEAN_EVACUATION_GAP_MS = 6_000;
 const DELAY_MS = 150;
 const SPOILED_PART = 0.3;
 const RESTART_MS = 300;
 const STATUS_UNAVAILABLE = 503;
 
 /** Faults that are announced to the system, and excuse nothing. */
-export const PLANNED = new Set([FaultKind.RouterStop, FaultKind.EndpointLeaves, FaultKind.KeyRevoked]);
+export const PLANNED = new Set([
+    FaultKind.RouterStop,
+    FaultKind.EndpointLeaves,
+    FaultKind.KeyRevoked,
+    FaultKind.ZoneEvacuated,
+]);
 
 /**
  * Starts to play faults.
@@ -76,18 +88,22 @@
  */
 export function startSoakFaults(options: SoakFaultsOptions): SoakFaults {
     const { fleet, platform, random } = options;
-    const kinds = Object.values(FaultKind).filter(kind => kind !== FaultKind.StoreRestored);
+    const separate = [FaultKind.StoreRestored, FaultKind.ZoneEvacuated];
+    const kinds = Object.values(FaultKind).filter(kind => !separate.includes(kind));
     const played: PlayedFault[] = [];
     const lasting = new Set<Promise<void>>();
     let timer: NodeJS.Timeout | undefined;
     let restoreTimer: NodeJS.Timeout | undefined;
+    let evacuationTimer: NodeJS.Timeout | undefined;
     planNext();
     planRestore();
+    planEvacuation();
     return {
         played,
         async stop() {
             clearTimeout(timer);
             clearTimeout(restoreTimer);
+            clearTimeout(evacuationTimer);
             await Promise.all(lasting);
         },
     };
@@ -109,6 +125,13 @@
         }, options.restoreRandom.drawExponential(MEAN_RESTORE_GAP_MS));
     }
 
+    function planEvacuation(): void {
+        evacuationTimer = setTimeout(() => {
+            startFault(FaultKind.ZoneEvacuated, options.evacuationRandom);
+            planEvacuation();
+        }, options.evacuationRandom.drawExponential(MEAN_EVACUATION_GAP_MS));
+    }
+
     function startFault(kind: FaultKind, drawn: Random): void {
         const fault = playFault(kind, drawn);
         lasting.add(fault);
@@ -151,6 +174,7 @@
             })
             .with(FaultKind.EndpointLeaves, () => platform.replaceEndpoint(endpoint))
             .with(FaultKind.KeyRevoked, () => platform.removeKey(lastsMs))
+            .with(FaultKind.ZoneEvacuated, () => platform.evacuateZone(getZone(endpoint.id), lastsMs))
             .exhaustive();
         fault.until = readMonotonicMs();
     }
--- a/bench/soak/SoakFleet.ts
+++ b/bench/soak/SoakFleet.ts
@@ -9,6 +9,8 @@
 import { type LinkStandin, startLinkStandin } from "../../standins/network/linkStandin.js";
 import { type StoreStandin, startStoreStandin } from "../../standins/platform/storeStandin.js";
 import { type FleetProcess, startFleetProcess } from "../fleet/FleetProcess.js";
+import { ZONES } from "./SoakEndpoint.js";
+import { EVACUATE_MS } from "./SoakPlatform.js";
 import { findFreePorts } from "../fleet/ports.js";
 
 /** A router of the soak: a process, and what the balancer believes of it. */
@@ -40,7 +42,6 @@
 const SCRIPT = fileURLToPath(new URL("../../platform/routerMain.js", import.meta.url));
 /** Network of the routers on loopback; each has an address, and all have the same ports. */
 const NETWORK = "127.0.1.";
-const ZONES = ["a", "b", "c"];
 const READY_TRIES = 400;
 const READY_POLL_MS = 25;
 /** Period of the balancer's checks, in milliseconds, and the misses after which a router gets no new connections. */
@@ -179,6 +180,7 @@
         retries: { ratio: 0.2, burst: 92, windowSeconds: 10 },
         applyMs: 2_000,
         leavingMs: 2_000,
+        evacuateMs: EVACUATE_MS,
         graceSeconds: 8,
         heartbeatMs: 1_000,
     };
--- a/bench/soak/SoakPlatform.ts
+++ b/bench/soak/SoakPlatform.ts
@@ -3,12 +3,12 @@
 import { writeKey } from "../../standins/platform/writeKey.js";
 import type { Random } from "../scheduling/Random.js";
 import type { RunRecord } from "./RunRecord.js";
-import { type SoakEndpoint, startSoakEndpoint } from "./SoakEndpoint.js";
+import { type SoakEndpoint, ZONES, getZone, startSoakEndpoint } from "./SoakEndpoint.js";
 
 /** An announcement of the operator or of an endpoint, and when the store took it (monotonic, in milliseconds). */
 export interface Announcement {
-    kind: "leaving" | "revoked" | "restored";
-    /** Endpoint or key. */
+    kind: "leaving" | "revoked" | "restored" | "evacuated" | "withdrawn";
+    /** Endpoint, key or availability zone. */
     subject: string;
     at: number;
 }
@@ -26,6 +26,8 @@
     restoreStore(ageMs: number): Promise<void>;
     /** Takes the second team's key away for a time. */
     removeKey(lastsMs: number): Promise<void>;
+    /** Evacuates an availability zone for a time. */
+    evacuateZone(zone: string, lastsMs: number): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -50,7 +52,8 @@
 const REWRITE_MS = 300;
 const DEAD_ENTRY_MS = 3_000;
 const SLOTS = 20;
-const ZONES = ["a", "b", "c"];
+/** Time in which an evacuation must be obeyed, in milliseconds; the settings of the routers have it too. */
+export const EVACUATE_MS = 3_000;
 
 /**
  * Starts endpoints and writes the first document.
@@ -67,6 +70,7 @@
     let keys: readonly string[] = [];
     /** States that endpoints have written; one that is gone has none. */
     const states = new Map<string, string>();
+    const evacuated = new Set<string>();
     const backups: StoreBackup[] = [];
     const backupTimer = setInterval(() => {
         backups.push(store.takeBackup());
@@ -76,7 +80,7 @@
     for (let index = 0; index < options.endpoints; index++) {
         await addEndpoint();
     }
-    return { announcements, drawEndpoint, dropEndpoint, replaceEndpoint, restoreStore, removeKey, close };
+    return { announcements, drawEndpoint, dropEndpoint, replaceEndpoint, restoreStore, removeKey, evacuateZone, close };
 
     function drawEndpoint(by: Random): SoakEndpoint | undefined {
         return serving[by.drawIndex(serving.map(() => 1))];
@@ -120,6 +124,9 @@
         backups.length = 0;
         await waitFor(REWRITE_MS);
         await writeKey(store, "op/config", JSON.stringify(buildDocument(version, keys)));
+        for (const zone of ZONES) {
+            await writeEvacuation(zone);
+        }
         for (const endpoint of all.filter(({ id }) => states.has(id))) {
             await writeEndpoint(endpoint, states.get(endpoint.id) ?? "");
         }
@@ -156,10 +163,27 @@
         isRevoked = false;
     }
 
+    async function evacuateZone(zone: string, lastsMs: number): Promise<void> {
+        if (evacuated.has(zone)) {
+            return;
+        }
+        evacuated.add(zone);
+        await writeEvacuation(zone);
+        announcements.push({ kind: "evacuated", subject: zone, at: readMonotonicMs() });
+        await waitFor(EVACUATE_MS + lastsMs);
+        announcements.push({ kind: "withdrawn", subject: zone, at: readMonotonicMs() });
+        evacuated.delete(zone);
+        await writeEvacuation(zone);
+    }
+
+    function writeEvacuation(zone: string): Promise<void> {
+        return writeKey(store, `op/evacuate/${zone}`, evacuated.has(zone) ? "{}" : undefined);
+    }
+
     function writeEndpoint(endpoint: SoakEndpoint, state: string): Promise<void> {
         states.set(endpoint.id, state);
         const address = `127.0.0.1:${endpoint.port}`;
-        const zone = ZONES[count % ZONES.length];
+        const zone = getZone(endpoint.id);
         const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1 };
         return writeKey(store, `servers/${endpoint.id}`, JSON.stringify(entry));
     }
--- a/bench/soak/playSoak.ts
+++ b/bench/soak/playSoak.ts
@@ -71,6 +71,7 @@
             platform,
             random,
             restoreRandom: createRandom(mixHash32(options.seed ^ RESTORE_SEED)),
+            evacuationRandom: createRandom(mixHash32(options.seed ^ EVACUATION_SEED)),
             meanGapMs: options.meanGapMs,
         });
         await waitFor(options.faultsMs);
@@ -95,8 +96,9 @@
     }
 }
 
-/** Sets the restores apart from the streams of all seeds. */
+/** Set the restores and the evacuations apart from the streams of all seeds. */
 const RESTORE_SEED = 0x5eed;
+const EVACUATION_SEED = 0xe7ac;
 const STREAMS = 3;
 
 /** Creates one of the independent streams of random numbers of a seed; close seeds give streams that differ at once. */
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -110,7 +110,8 @@
     const knowledge = createEndpointKnowledge();
     const documentKnowledge = createDocumentKnowledge(() => holder.getVersion());
     const documentServer = createDocumentServer(() => holder.getIndex()?.document);
-    const maxEvacuationAgeMs = MAX_EVACUATION_AGE_FRACTION * (settings.evacuateMs ?? Number.POSITIVE_INFINITY);
+    const evacuateMs = settings.evacuateMs ?? Number.POSITIVE_INFINITY;
+    const maxEvacuationAgeMs = MAX_EVACUATION_AGE_FRACTION * evacuateMs;
     const startedAt = readMonotonicMs();
     let isLeaving = false;
     let hasUsableDocument = false;
@@ -126,6 +127,7 @@
         knowledge,
         documentKnowledge,
         evacuations,
+        evacuateMs,
         maxEvacuationAgeMs,
         logger,
     });
--- a/src/direct/StoreSync.ts
+++ b/src/direct/StoreSync.ts
@@ -35,6 +35,8 @@
     documentKnowledge: DocumentKnowledge;
     /** Updated with each answer on the evacuated zones, whose keys have the prefix of the document. */
     evacuations: Evacuations;
+    /** Maximum time until an evacuation is obeyed, in milliseconds; infinite if there are none. */
+    evacuateMs: number;
     /** Age of the knowledge of evacuated zones from which the store is read at once, in milliseconds. */
     maxEvacuationAgeMs: number;
     logger: Logger;
@@ -66,7 +68,7 @@
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
     const { service, codec, holder, directory, logger } = options;
     const storeEvacuations = createStoreEvacuations(codec, options.evacuations, logger);
-    const documentTimes = computeDocumentWatchTimes(options.applyMs);
+    const documentTimes = computeDocumentWatchTimes(options.applyMs, options.evacuateMs);
     let answeredAt = Number.NEGATIVE_INFINITY;
     let documentAnsweredAt = Number.NEGATIVE_INFINITY;
     let endpointRevision = 0;
--- a/src/direct/computeWatchTimes.ts
+++ b/src/direct/computeWatchTimes.ts
@@ -32,13 +32,20 @@
 const MAX_DOCUMENT_WAIT_MS = 2_500;
 
 /**
- * Computes the times of the watch of the routing document.
+ * Fraction of the time in which an evacuation must be obeyed. The answers of this watch confirm the evacuated zones too, and the
+ * other routers, which learn it later, read the store themselves only when these answers fail.
+ */
+const EVACUATION_WAIT_FRACTION = 0.25;
+
+/**
+ * Computes the times of the watch of the routing document and the evacuated availability zones.
  * @param applyMs - Maximum time until a change is in force on every router, in milliseconds.
+ * @param evacuateMs - Maximum time until an evacuation is obeyed, in milliseconds; infinite if there are none.
  */
-export function computeDocumentWatchTimes(applyMs: number): WatchTimes {
+export function computeDocumentWatchTimes(applyMs: number, evacuateMs: number): WatchTimes {
     return {
         periodMs: DOCUMENT_PERIOD_MS,
-        waitMs: Math.min(MAX_DOCUMENT_WAIT_MS, DOCUMENT_WAIT_FRACTION * applyMs),
+        waitMs: Math.min(MAX_DOCUMENT_WAIT_MS, DOCUMENT_WAIT_FRACTION * applyMs, EVACUATION_WAIT_FRACTION * evacuateMs),
         answerTimeoutMs: Math.min(MAX_ANSWER_TIMEOUT_MS, DOCUMENT_ANSWER_FRACTION * applyMs),
     };
 }
--- a/src/direct/evacuation/EvacuationKnowledge.ts
+++ b/src/direct/evacuation/EvacuationKnowledge.ts
@@ -94,11 +94,12 @@
     function mergeReport(report: EvacuationReport, source: EvacuationSource): void {
         const next: StorePosition = { era: report.era, revision: report.revision };
         const progress = comparePositions(next, position);
-        if (report.isPartial) {
+        const { zones = [], eraAgeMs = 0 } = report;
+        if (report.isPartial === true) {
             // The rest is unknown, so the position stays; the store's own listing corrects what is added here.
-            named = progress > 0 ? new Set([...named, ...report.zones]) : named;
+            named = progress > 0 ? new Set([...named, ...zones]) : named;
         } else {
-            applyZones(report.zones, next, report.ageMs, report.eraAgeMs, source);
+            applyZones(zones, next, report.ageMs, eraAgeMs, source);
         }
         if (next.era === position.era && progress >= 0) {
             mergeKept(report);
@@ -107,9 +108,12 @@
     }
 
     /** Another router may have known zones of the earlier era that this one, perhaps just started, has not. */
-    function mergeKept(report: EvacuationReport): void {
-        eraReadAt = Math.min(eraReadAt, readMonotonicMs() - report.eraAgeMs);
-        const missing = report.kept.filter(zone => !namedInEra.has(zone));
+    function mergeKept({ kept: told = [], eraAgeMs = 0 }: EvacuationReport): void {
+        if (told.length === 0) {
+            return;
+        }
+        eraReadAt = Math.min(eraReadAt, readMonotonicMs() - eraAgeMs);
+        const missing = told.filter(zone => !namedInEra.has(zone));
         if (!isKeptExpired()) {
             kept = new Set([...kept, ...missing]);
         }
@@ -178,12 +182,12 @@
         const zones = [...named].slice(0, MAX_REPORTED_ZONES);
         const keptZones = [...kept].slice(0, MAX_REPORTED_ZONES - zones.length);
         return {
-            zones,
-            kept: keptZones,
+            zones: zones.length === 0 ? undefined : zones,
+            kept: keptZones.length === 0 ? undefined : keptZones,
             ...position,
             ageMs: Math.round(getAgeMs()),
-            eraAgeMs: Math.round(readMonotonicMs() - eraReadAt),
-            isPartial: zones.length < named.size,
+            eraAgeMs: keptZones.length === 0 ? undefined : Math.round(readMonotonicMs() - eraReadAt),
+            isPartial: zones.length < named.size ? true : undefined,
         };
     }
 
--- a/tap-snapshots/dist/tests/soak/checkerTests.js.test.cjs
+++ b/tap-snapshots/dist/tests/soak/checkerTests.js.test.cjs
@@ -29,6 +29,9 @@
   "a request that planned work cut": Array [
     "a-1: reached an endpoint through router-1 and was cut during planned work",
   ],
+  "a request to a zone that was evacuated": Array [
+    "a-1: reached b 3510 ms after its evacuation",
+  ],
   "a run at an endpoint that has left": Array [
     "a-1: reached i-1 2110 ms after it began to leave",
   ],
--- a/tests/direct/evacuation/evacuationKnowledgeTests.ts
+++ b/tests/direct/evacuation/evacuationKnowledgeTests.ts
@@ -98,7 +98,7 @@
     const zones = Array.from({ length: 70 }, (unused, index) => `z-${index}`);
     knowledge.applyStoreZones(zones, buildPosition(0, 6), 0);
     const report = knowledge.buildReport() as EvacuationReport;
-    t.equal(report.zones.length, 64, "messages stay bounded");
+    t.equal(report.zones?.length, 64, "messages stay bounded");
     const { knowledge: other } = startKnowledge();
     other.applyStoreZones(["z-69"], buildPosition(0, 5), 0);
     other.mergeReport(report, PEER);
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -82,7 +82,7 @@
         ownZone: "a",
         applyMs: 2_000,
         knowledge,
-        evacuations: { mergeReport: report => evacuated.push(...report.zones) },
+        evacuations: { mergeReport: report => evacuated.push(...(report.zones ?? [])) },
         documentKnowledge: createDocumentKnowledge(() => holder.getVersion()),
         isReadingStore: () => ownAgeMs === PLATFORM_AGE_MS,
         logger: createLogger("test", { writeLine: () => undefined, flush: () => Promise.resolve() }),
@@ -105,7 +105,7 @@
         storeEra: ERA,
         endpointRevision: 7,
         endpointAgeMs: 0,
-        evacuations: { zones: ["b"], kept: [], era: ERA, revision: 7, ageMs: 0, eraAgeMs: 0, isPartial: false },
+        evacuations: { zones: ["b"], era: ERA, revision: 7, ageMs: 0 },
     };
     const { directory, holder, knowledge, evacuated } = await startDisconnectedRouter(t, peerSnapshot, 0);
     await waitFor(SETTLE_MS);
--- a/tests/soak/checkerTests.ts
+++ b/tests/soak/checkerTests.ts
@@ -66,6 +66,10 @@
         "a run at an endpoint that has left": buildSeen([buildAttempt()], {
             announcements: [{ kind: "leaving", subject: "i-1", at: 7_900 }],
         }),
+        "a request to a zone that was evacuated": buildSeen([buildAttempt()], {
+            announcements: [{ kind: "evacuated", subject: "b", at: 6_500 }],
+            faults: [{ kind: FaultKind.RouterFreeze, target: "router-1", from: 6_500, until: 9_500 }],
+        }),
         "a request that planned work cut": buildSeen([buildAttempt({ status: undefined, body: "", isWhole: false })], {
             faults: [{ kind: FaultKind.RouterStop, target: "router-1", from: 9_000, until: 11_000 }],
         }),
