Cold endpoints: waits tested, sends forgotten in time, and cold starts in the soak

Cause: sends to warm endpoints were kept without end, and a request refused because all endpoints are cold was told the longest delay, though a turn comes within a second. Change: sends of the last second only are kept; the delay is a second at most; tests of the admission before cold endpoints; the soak's endpoints tell their start times and its service a rate for cold ones. The soak was not run yet.

--- a/bench/soak/SoakFleet.ts
+++ b/bench/soak/SoakFleet.ts
@@ -181,5 +181,6 @@
         leavingMs: 2_000,
         graceSeconds: 8,
         heartbeatMs: 1_000,
+        cold: { overshoot: 1.5, slack: 5 },
     };
 }
--- a/bench/soak/SoakPlatform.ts
+++ b/bench/soak/SoakPlatform.ts
@@ -67,6 +67,8 @@
     let keys: readonly string[] = [];
     /** States that endpoints have written; one that is gone has none. */
     const states = new Map<string, string>();
+    /** Wall-clock times of the endpoints' starts, after which they are cold for a time, in milliseconds. */
+    const bornAt = new Map<string, number>();
     const backups: StoreBackup[] = [];
     const backupTimer = setInterval(() => {
         backups.push(store.takeBackup());
@@ -160,7 +162,9 @@
         states.set(endpoint.id, state);
         const address = `127.0.0.1:${endpoint.port}`;
         const zone = ZONES[count % ZONES.length];
-        const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1 };
+        const born = bornAt.get(endpoint.id) ?? Date.now();
+        bornAt.set(endpoint.id, born);
+        const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1, born };
         return writeKey(store, `servers/${endpoint.id}`, JSON.stringify(entry));
     }
 
@@ -193,7 +197,7 @@
                 max_attempts: 2,
             },
         ],
-        services: [{ name: "app", health_path: "/healthz", max_conns: 500 }],
+        services: [{ name: "app", health_path: "/healthz", max_conns: 500, cold_start_s: 3, cold_per_s: 18 }],
         limits: {
             max_header_bytes: 16_384,
             max_body_bytes: 100_000,
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -12,6 +12,8 @@
 const STATUS_GATEWAY_TIMEOUT = 504;
 /** Delay after which an endpoint is likely to have free capacity or to have been discovered, in milliseconds. */
 const RETRY_DELAY_MS = 250;
+/** Delay after which this router may send cold endpoints requests again, in milliseconds: their rate holds for any second. */
+const COLD_RETRY_DELAY_MS = 1_000;
 /** Fraction of the caller's remaining time that Retry-After may ask for; callers ignore longer delays. */
 const RETRY_DELAY_FRACTION = 0.3;
 
@@ -106,9 +108,11 @@
 export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
     const now = readMonotonicMs();
     const delayMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - now) * RETRY_DELAY_FRACTION);
-    const isOnlyCold = context.candidates.listCandidates(exchange.service, exchange.demand, now).length === 0;
-    const detail = isOnlyCold ? "all endpoints are cold and at their rate" : "no endpoint had free capacity in time";
-    return createRefusal(state, Cause.Overload, detail, delayMs);
+    if (context.candidates.listCandidates(exchange.service, exchange.demand, now).length === 0) {
+        const coldDelayMs = computeRetryDelay(exchange, COLD_RETRY_DELAY_MS);
+        return createRefusal(state, Cause.Overload, "all endpoints are cold and at their rate", coldDelayMs);
+    }
+    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs);
 }
 
 /**
--- a/src/direct/cold/ColdEndpoints.ts
+++ b/src/direct/cold/ColdEndpoints.ts
@@ -237,7 +237,7 @@
             options.onHeldBack(record.service);
             return undefined;
         }
-        return sends.startSend(record.id);
+        return sends.startSend(record.id, now);
     }
 
     function hasRoom(record: EndpointRecord, now: number): boolean {
@@ -280,7 +280,6 @@
             return;
         }
         expiredAt = now;
-        sends.expireSends(now);
         for (const [id, mark] of marks.listMarked()) {
             const behavior = getBehavior(mark.service);
             const until = behavior === undefined ? Number.NEGATIVE_INFINITY : computeColdUntil(mark, behavior);
--- a/src/direct/cold/ColdSends.ts
+++ b/src/direct/cold/ColdSends.ts
@@ -11,13 +11,11 @@
 /** Times of this router's own sends to the endpoints, as far as they count. */
 export interface ColdSends {
     /** Records a send that starts now. */
-    startSend(endpoint: string): SendTicket;
+    startSend(endpoint: string, now: number): SendTicket;
     /** Counts the sends of the last second. */
     countSends(endpoint: string, now: number): number;
     /** Counts the sends of the last second that will no longer count after a time. */
     countEnding(endpoint: string, withinMs: number, now: number): number;
-    /** Forgets the endpoints without a send in the last second. */
-    expireSends(now: number): void;
 }
 
 /**
@@ -25,25 +23,24 @@
  * exact to some milliseconds only.
  */
 export const SEND_WINDOW_MS = 1_010;
+/** Period in which endpoints without a send in the last second are forgotten, in milliseconds. */
+const EXPIRY_PERIOD_MS = 10_000;
 
 /** Creates the sends of a router that has sent nothing. */
 export function createColdSends(): ColdSends {
     const sends = new Map<string, { at: number }[]>();
+    let expiredAt = Number.NEGATIVE_INFINITY;
     return {
         startSend,
         countSends: (endpoint, now) => listRecent(endpoint, now).length,
         countEnding: (endpoint, withinMs, now) =>
             listRecent(endpoint, now).filter(({ at }) => at + SEND_WINDOW_MS <= now + withinMs).length,
-        expireSends(now) {
-            for (const endpoint of sends.keys()) {
-                listRecent(endpoint, now);
-            }
-        },
     };
 
-    function startSend(endpoint: string): SendTicket {
+    function startSend(endpoint: string, now: number): SendTicket {
+        expireSends(now);
         const send = { at: Number.POSITIVE_INFINITY };
-        sends.set(endpoint, [...(sends.get(endpoint) ?? []), send]);
+        sends.set(endpoint, [...listRecent(endpoint, now), send]);
         return {
             recordWrite(now) {
                 send.at = now;
@@ -57,6 +54,13 @@
         };
     }
 
+    function expireSends(now: number): void {
+        if (now - expiredAt >= EXPIRY_PERIOD_MS) {
+            expiredAt = now;
+            [...sends.keys()].forEach(endpoint => listRecent(endpoint, now));
+        }
+    }
+
     function listRecent(endpoint: string, now: number): readonly { at: number }[] {
         const recent = (sends.get(endpoint) ?? []).filter(({ at }) => now - at < SEND_WINDOW_MS);
         if (recent.length === 0) {
--- a/tests/direct/coldEndpointTests.ts
+++ b/tests/direct/coldEndpointTests.ts
@@ -53,7 +53,7 @@
 // Guards against many requests that are told the same candidate in one turn of the event loop.
 t.test("a cold endpoint gets this router's share, the other one the rest, and no request fails", async t => {
     const { system, arrivals } = await startColdSystem(t, [COLD, {}]);
-    await sendTogether(system, 4, "first");
+    await sendTogether(system, 20, "first");
     const [cold = []] = arrivals;
     t.ok(cold.length > 0);
     await waitFor(SECOND_MS + 100);
