--- a/src/direct/cold/ColdEndpoints.ts
+++ b/src/direct/cold/ColdEndpoints.ts
@@ -1,4 +1,9 @@
-import { type RouterKnowledge, computeColdAllowance, computeColdBound } from "../../scheduling/index.js";
+import {
+    type RouterHashes,
+    computeColdAllowance,
+    computeColdBound,
+    computeRouterHashes,
+} from "../../scheduling/index.js";
 import { EventId, type Logger } from "../../telemetry/index.js";
 import type { DirectSettings } from "../DirectSettings.js";
 import type { EndpointRecord } from "../EndpointRecord.js";
@@ -89,11 +94,12 @@
 interface RouterView {
     at: number;
     routers: readonly string[];
+    hashes: RouterHashes;
     unknownCount: number;
 }
 
 interface CachedAllowance {
-    routers: readonly string[];
+    hashes: RouterHashes;
     unknownCount: number;
     bound: number;
     allowance: number;
@@ -114,7 +120,12 @@
     const zoneMarkedAt = new Map<string, number>();
     /** Times of the last failed connections to the endpoints that have not answered since. */
     const unreachableAt = new Map<string, number>();
-    let view: RouterView = { at: Number.NEGATIVE_INFINITY, routers: [], unknownCount: 0 };
+    let view: RouterView = {
+        at: Number.NEGATIVE_INFINITY,
+        routers: [],
+        hashes: computeRouterHashes(options.own, []),
+        unknownCount: 0,
+    };
     let expiredAt = Number.NEGATIVE_INFINITY;
     return {
         recordEntry,
@@ -253,15 +264,14 @@
             return 0;
         }
         const bound = computeColdBound({ perSecond: behavior.perSecond, ...options.settings });
-        const { routers, unknownCount } = getRouterView(now);
+        const { hashes, unknownCount } = getRouterView(now);
         const cached = allowances.get(endpoint);
-        const isCurrent = cached?.routers === routers && cached.unknownCount === unknownCount && cached.bound === bound;
+        const isCurrent = cached?.hashes === hashes && cached.unknownCount === unknownCount && cached.bound === bound;
         if (isCurrent) {
             return cached.allowance;
         }
-        const knowledge: RouterKnowledge = { own: options.own, others: routers, unknownCount };
-        const allowance = computeColdAllowance(endpoint, bound, knowledge);
-        allowances.set(endpoint, { routers, unknownCount, bound, allowance });
+        const allowance = computeColdAllowance(endpoint, bound, hashes, unknownCount);
+        allowances.set(endpoint, { hashes, unknownCount, bound, allowance });
         return allowance;
     }
 
@@ -270,7 +280,8 @@
             const routers = options.listRouters();
             const isUncertain = now - options.startedAt < LEARNING_MS || !options.hearsOthers();
             const assumed = Math.max(options.getReportedRouterCount(), isUncertain ? MIN_ASSUMED_ROUTERS : 0);
-            view = { at: now, routers, unknownCount: Math.max(0, assumed - routers.length - 1) };
+            const hashes = routers === view.routers ? view.hashes : computeRouterHashes(options.own, routers);
+            view = { at: now, routers, hashes, unknownCount: Math.max(0, assumed - routers.length - 1) };
         }
         return view;
     }
--- a/src/scheduling/coldAllowance.ts
+++ b/src/scheduling/coldAllowance.ts
@@ -10,14 +10,12 @@
     slack: number;
 }
 
-/** What a router knows of the routers that may send to the same endpoints. */
-export interface RouterKnowledge {
-    /** Address of this router. */
-    own: string;
-    /** Addresses of the other known routers. */
-    others: readonly string[];
-    /** Number of routers that may exist beside the known ones. */
-    unknownCount: number;
+/** Hashes of this router and of the others that it knows. */
+export interface RouterHashes {
+    own: number;
+    others: readonly number[];
+    /** Place of this router in the order of the addresses, which decides between equal hashes. */
+    ownIndex: number;
 }
 
 /** Share of the bound that the routers divide; the rest covers short disagreement about which routers there are. */
@@ -36,6 +34,19 @@
     return Math.floor(rate.perSecond * rate.overshoot + rate.slack);
 }
 
+/**
+ * Computes the hashes of the routers, once for all endpoints.
+ * @param own - Address of this router.
+ * @param others - Addresses of the other known routers, in order.
+ */
+export function computeRouterHashes(own: string, others: readonly string[]): RouterHashes {
+    return {
+        own: computeHash32(own),
+        others: others.map(computeHash32),
+        ownIndex: others.filter(other => other < own).length,
+    };
+}
+
 /**
  * Computes the number of requests that one router may send to a cold endpoint in any second. Each router ranks all routers by a hash
  * of router and endpoint: a router whose rank is below the number of requests that are left after an equal division gets one more.
@@ -43,10 +54,16 @@
  * ones may put it, so that the sum stays within the bound whatever the others know.
  * @param endpoint - Identifier of the endpoint.
  * @param bound - Requests that the endpoint may get from all routers in any second.
- * @param knowledge - What this router knows of the routers.
+ * @param hashes - Hashes of the known routers.
+ * @param unknownCount - Number of routers that may exist beside the known ones.
  */
-export function computeColdAllowance(endpoint: string, bound: number, knowledge: RouterKnowledge): number {
-    const { own, others, unknownCount } = knowledge;
+export function computeColdAllowance(
+    endpoint: string,
+    bound: number,
+    hashes: RouterHashes,
+    unknownCount: number,
+): number {
+    const { own, others, ownIndex } = hashes;
     const routers = others.length + 1 + unknownCount;
     const divided = Math.max(Math.ceil(bound * MIN_DIVIDED_SHARE), Math.floor(bound * DIVIDED_SHARE));
     const equal = Math.floor(divided / routers);
@@ -57,16 +74,16 @@
     const endpointHash = computeHash32(endpoint);
     const ownPlace = computePlace(own, endpointHash);
     let rank = 0;
-    for (const other of others) {
+    for (const [index, other] of others.entries()) {
         const place = computePlace(other, endpointHash);
-        rank += place < ownPlace || (place === ownPlace && other < own) ? 1 : 0;
+        rank += place < ownPlace || (place === ownPlace && index < ownIndex) ? 1 : 0;
     }
     return equal + (rank + estimateUnknownBefore(ownPlace / HASH_RANGE, unknownCount) < remainder ? 1 : 0);
 }
 
 /** The place of a router in the order for an endpoint; the mix is one-to-one, so only equal hashes of routers collide. */
-function computePlace(router: string, endpointHash: number): number {
-    return mixHash32((computeHash32(router) ^ endpointHash) >>> 0);
+function computePlace(routerHash: number, endpointHash: number): number {
+    return mixHash32((routerHash ^ endpointHash) >>> 0);
 }
 
 /** Estimates how many of the unknown routers may come before a place, given as a fraction, but for a rare chance. */
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -101,6 +101,8 @@
     await waitFor(4 * SETTLE_MS);
     routers.forEach(({ gossip, received }) => {
         t.equal(gossip.getPeakRouterCount(), addresses.length, "all know of all");
+        t.equal(gossip.listRouterAddresses().length, addresses.length - 1);
+        t.equal(gossip.getReportedRouterCount(), addresses.length);
         received.splice(0);
     });
     await waitFor(2 * SETTLE_MS);
