--- a/bench/soak/SoakFleet.ts
+++ b/bench/soak/SoakFleet.ts
@@ -183,5 +183,6 @@
         evacuateMs: EVACUATE_MS,
         graceSeconds: 8,
         heartbeatMs: 1_000,
+        cold: { overshoot: 1.5, slack: 5 },
     };
 }
--- a/bench/soak/SoakPlatform.ts
+++ b/bench/soak/SoakPlatform.ts
@@ -71,6 +71,8 @@
     /** States that endpoints have written; one that is gone has none. */
     const states = new Map<string, string>();
     const evacuated = new Set<string>();
+    /** Wall-clock times of the endpoints' starts, after which they are cold for a time, in milliseconds. */
+    const bornAt = new Map<string, number>();
     const backups: StoreBackup[] = [];
     const backupTimer = setInterval(() => {
         backups.push(store.takeBackup());
@@ -184,7 +186,9 @@
         states.set(endpoint.id, state);
         const address = `127.0.0.1:${endpoint.port}`;
         const zone = getZone(endpoint.id);
-        const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1 };
+        const born = bornAt.get(endpoint.id) ?? Date.now();
+        bornAt.set(endpoint.id, born);
+        const entry = { service: "app", address, zone, version: "v1", slots: SLOTS, state, sequence: 1, born };
         return writeKey(store, `servers/${endpoint.id}`, JSON.stringify(entry));
     }
 
@@ -217,7 +221,7 @@
                 max_attempts: 2,
             },
         ],
-        services: [{ name: "app", health_path: "/healthz", max_conns: 500 }],
+        services: [{ name: "app", health_path: "/healthz", max_conns: 500, cold_start_s: 3, cold_per_s: 18 }],
         limits: {
             max_header_bytes: 16_384,
             max_body_bytes: 100_000,
