--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -53,6 +53,8 @@
             /** Share of one core, or number of cores. */
             cores: z.number().min(0).optional(),
             linkMbps: z.number().min(0).optional(),
+            /** Number of file descriptors that the process may have open. */
+            maxFds: z.number().int().min(1).optional(),
         })
         .optional(),
 });
--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -219,7 +219,10 @@
 }
 
 /** Sends a caller's request and collects the answer. */
-export function callRouter(system: DirectSystem, options: CallOptions): Promise<CallerAnswer> {
+export function callRouter(
+    system: Pick<DirectSystem, "address" | "port">,
+    options: CallOptions,
+): Promise<CallerAnswer> {
     return new Promise((resolve, reject) => {
         const request = http.request({
             host: system.address,
