Account of what callers make a process hold, with a bound from the host's memory

Cause: a router kept whatever its callers sent: bodies in buffers that doubled, pipelined requests, unread answers and connections, each without a common bound.

Change: src/memory has one account for each process. Connections, heads, bodies and buffered answers reserve their bytes in it. What has no room is refused with 503 before it is sent anywhere, after bytes without progress have been taken back, the longest stalled first. Bodies are collected in blocks in place of a doubling buffer, may have only a limited number of tiny chunks, and are read within a budget for each turn of the event loop. The number of connections follows from the descriptors; idle ones are closed first. A refused body isn't read on. The router with agents uses the same account.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { z } from "zod";
+import { callerLimitsSchema } from "../memory/index.js";
 import { type Checked, checkYaml } from "./checkYaml.js";
 
 const port = z.number().int().min(0).max(65_535);
@@ -39,6 +40,12 @@
     operators: z
         .array(z.strictObject({ name: z.string().min(1), keyDigest: z.string().regex(/^[0-9a-f]{64}$/) }))
         .default([]),
+    /** Bounds on what callers may make the process hold. */
+    callerLimits: callerLimitsSchema.optional(),
+    /** What the host gives the process; absent fields are unknown. */
+    resources: z
+        .strictObject({ memoryMb: z.number().min(1).optional(), maxFds: z.number().int().min(1).optional() })
+        .optional(),
     limits: z
         .strictObject({
             bodyBytes: z
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,8 +1,18 @@
 import http from "node:http";
 import type { Socket } from "node:net";
+import {
+    type CallerMemory,
+    type RequestMemory,
+    createCallerMemory,
+    FULL_REFUSAL,
+    createMemoryRefusal,
+    resolveCallerLimits,
+} from "../memory/index.js";
 import { Cause, Outcome, type Refusal, formatFractionalSeconds, getHeader, sendRefusal } from "../protocol/index.js";
 import { type Filter, runPipeline } from "../router/pipeline.js";
 import { createConnectionGuard } from "../utils/ConnectionGuard.js";
+import { closeAfterUnreadBody } from "../utils/closeAfterUnreadBody.js";
+import { countHeadBytes } from "../utils/countHeadBytes.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { watchDisconnect } from "../utils/watchDisconnect.js";
 import { createConnectionList } from "./ConnectionList.js";
@@ -26,6 +36,8 @@
     names: HeaderNames;
     filters: readonly Filter<DirectExchange>[];
     getIndex: () => RouteIndex | undefined;
+    /** Account of what callers make the process hold; without it, the default bounds hold. */
+    memory?: CallerMemory;
     /** Called once for each exchange that has ended. */
     onSettled: (settled: SettledDirectExchange) => void;
     /** Called on an unexpected error; the caller gets a 500, or a broken connection if the answer has begun. */
@@ -56,6 +68,8 @@
 const ANSWER_MARGIN_MS = 20;
 /** Limit of the HTTP parser; the limit in the routing document is usually lower. */
 const MAX_HEADER_BYTES = 65_536;
+/** The parser counts the request line and the separators too, which the limit in the routing document doesn't. */
+const PARSED_HEAD_FACTOR = 2;
 /** Interval at which connections are checked for slow headers, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
@@ -64,6 +78,7 @@
  * @param options - Filters and callbacks.
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
+    const memory = options.memory ?? createCallerMemory(resolveCallerLimits(), () => undefined);
     let activeRequests = 0;
     let isDraining = false;
     let isClosing = false;
@@ -80,7 +95,13 @@
         },
         (request, response) => void handleRequest(request, response),
     );
-    server.on("connection", connections.addConnection);
+    server.on("connection", (socket: Socket) => {
+        connections.addConnection(socket);
+        if (!memory.addConnection(socket)) {
+            guard.refuseConnection(new Error("no room for a connection"), socket, FULL_REFUSAL);
+            socket.destroySoon();
+        }
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         const status = getStatusLine(error.code);
         const refusal = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
@@ -93,6 +114,10 @@
             server.keepAliveTimeout = limits.idleTimeoutMs;
             server.headersTimeout = limits.headerTimeoutMs;
             headerBytes = limits.headerBytes;
+            const maxHeaderSize = Math.min(MAX_HEADER_BYTES, limits.headerBytes * PARSED_HEAD_FACTOR);
+            // Holds for new connections; Node.js reads the property for each, though its types lack it.
+            Object.assign(server, { maxHeaderSize });
+            memory.applySizes(limits.bodyBytes, maxHeaderSize);
         },
         startDraining() {
             isDraining = true;
@@ -123,19 +148,26 @@
         if (isDraining) {
             response.setHeader("connection", "close");
         }
+        const headSize = countHeadBytes(request);
+        const requestMemory = memory.openRequest(request, response, headSize);
+        if (requestMemory === undefined) {
+            response.setHeader("connection", "close");
+            sendRefusal(response, createMemoryRefusal(), undefined, formatFractionalSeconds);
+            return;
+        }
         const index = options.getIndex();
         if (index === undefined) {
             closeAfterUnreadBody(request, response);
             sendRefusal(response, createNoDocumentRefusal(), undefined, formatFractionalSeconds);
             return;
         }
-        if (countHeaderBytes(request) > headerBytes) {
+        if (headSize > headerBytes) {
             closeAfterUnreadBody(request, response);
             response.writeHead(431, { connection: "close" }).end();
             return;
         }
         activeRequests++;
-        const exchange = openExchange(request, response, index);
+        const exchange = openExchange(request, response, index, requestMemory);
         exchange.requestsAhead = requestsAhead;
         try {
             const refusal = await runFilters(exchange);
@@ -163,11 +195,12 @@
         request: http.IncomingMessage,
         response: http.ServerResponse,
         index: RouteIndex,
+        requestMemory: RequestMemory,
     ): DirectExchange {
         const requestedMs = Number(getHeader(request.headers, options.names.deadline) ?? DEFAULT_DEADLINE_MS);
         const callerTimeoutMs = Number.isFinite(requestedMs) && requestedMs > 0 ? requestedMs : DEFAULT_DEADLINE_MS;
         const id = getHeader(request.headers, options.names.attempt) ?? "";
-        const exchange = createDirectExchange({ request, response, index, id, callerTimeoutMs });
+        const exchange = createDirectExchange({ request, response, index, id, callerTimeoutMs, memory: requestMemory });
         exchange.shortenDeadline(exchange.arrivedAt + Math.max(1, callerTimeoutMs - ANSWER_MARGIN_MS));
         watchDisconnect(response, () => {
             exchange.isCallerGone = true;
@@ -216,23 +249,6 @@
     }
 }
 
-/** A connection can't be reused after a request whose body was not read to its end. */
-function closeAfterUnreadBody(request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (!request.complete) {
-        response.setHeader("connection", "close");
-    }
-}
-
-/** Counts the bytes of the header lines as received. */
-function countHeaderBytes(request: http.IncomingMessage): number {
-    const separators = 4;
-    let bytes = 0;
-    for (let index = 0; index < request.rawHeaders.length; index++) {
-        bytes += (request.rawHeaders[index] ?? "").length + separators / 2;
-    }
-    return bytes;
-}
-
 function getStatusLine(code: string | undefined): string {
     if (code === "HPE_HEADER_OVERFLOW") {
         return "431 Request Header Fields Too Large";
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -1,4 +1,5 @@
 import type http from "node:http";
+import { type RequestMemory, UNCOUNTED_MEMORY } from "../memory/index.js";
 import type { Cause } from "../protocol/index.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type RequestDemand, UNKNOWN_DEMAND } from "./candidates/RequestDemand.js";
@@ -24,6 +25,8 @@
 export interface DirectExchange {
     readonly request: http.IncomingMessage;
     readonly response: http.ServerResponse;
+    /** Account of what the request makes the router hold. */
+    readonly memory: RequestMemory;
     /** Identifier of the caller's attempt. */
     readonly id: string;
     /** Routes in force at arrival; they apply to the whole exchange. */
@@ -66,7 +69,8 @@
 }
 
 /** Values that an exchange is created with. */
-export type DirectExchangeOptions = Pick<DirectExchange, "request" | "response" | "index" | "id" | "callerTimeoutMs">;
+export type DirectExchangeOptions = Pick<DirectExchange, "request" | "response" | "index" | "id" | "callerTimeoutMs"> &
+    Partial<Pick<DirectExchange, "memory">>;
 
 /**
  * Creates an exchange that has no deadline yet.
@@ -77,6 +81,7 @@
     let deadlineAt = Number.POSITIVE_INFINITY;
     let timer: NodeJS.Timeout | undefined;
     const exchange: DirectExchange = {
+        memory: UNCOUNTED_MEMORY,
         ...options,
         arrivedAt,
         get deadlineAt() {
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -13,6 +13,8 @@
     recordSettled(settled: SettledDirectExchange): void;
     /** Counts a call to the platform's store. */
     recordStoreCall(operation: string, result: CallResult): void;
+    /** Counts a caller that has reached a limit. */
+    recordCallerLimit(limit: string): void;
 }
 
 /** State of the router, read at each scrape. */
@@ -34,6 +36,9 @@
     countLimited(): number;
     /** Whether this router reads the store itself instead of learning from peers. */
     isReadingStore(): boolean;
+    /** Bytes held for callers. */
+    getCallerBytes(): number;
+    countCallerConnections(): number;
 }
 
 const NO_TEAM = "none";
@@ -71,11 +76,15 @@
         "operation",
         "result",
     ]);
+    const limits = set.addCounter({ name: "auburnpass_caller_limits_total", help: "Callers that reached a limit" }, [
+        "limit",
+    ]);
     addStateGauges(set, state);
     return {
         set,
         recordSettled,
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
+        recordCallerLimit: limit => limits.addAmount({ limit }),
     };
 
     function recordSettled(settled: SettledDirectExchange): void {
@@ -133,4 +142,8 @@
     set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
         state.isReadingStore() ? 1 : 0,
     );
+    set.addGauge({ name: "auburnpass_caller_bytes", help: "Bytes held for callers" }, () => state.getCallerBytes());
+    set.addGauge({ name: "auburnpass_caller_connections", help: "Connections of callers" }, () =>
+        state.countCallerConnections(),
+    );
 }
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { callerLimitsSchema } from "../memory/index.js";
 
 const port = z.number().int().min(1).max(65_535);
 const endpoint = z.strictObject({ address: z.ipv4(), port });
@@ -57,6 +58,8 @@
             maxFds: z.number().int().min(1).optional(),
         })
         .optional(),
+    /** Bounds on what callers may make the process hold. */
+    callerLimits: callerLimitsSchema.optional(),
 });
 
 /** Checked settings of a direct router. */
--- a/src/direct/relay/BufferedRelay.ts
+++ b/src/direct/relay/BufferedRelay.ts
@@ -37,7 +37,7 @@
             const { message, status } = endpointResponse;
             let body: Buffer;
             try {
-                body = await readWholeBody(message, MAX_RESPONSE_BYTES, MAX_RESPONSE_CHUNKS);
+                body = await readWholeBody(message, MAX_RESPONSE_BYTES, MAX_RESPONSE_CHUNKS, exchange.memory);
             } catch {
                 // The request's log line tells how the response ended; whatever the reason, it is incomplete.
                 message.destroy();
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -1,4 +1,5 @@
 import { type KeyValueService, createCountedService } from "../platform/index.js";
+import { type CallerMemory, createCallerMemory, createLimitReport, resolveCallerLimits } from "../memory/index.js";
 import { createCheckHeaders } from "../router/filters/checkHeaders.js";
 import { createReadBody } from "../router/filters/readBody.js";
 import {
@@ -45,8 +46,6 @@
     names: HeaderNames;
 }
 
-/** Time within which a request's body must arrive, in milliseconds; the routing document has no limit for it. */
-const BODY_TIMEOUT_MS = 10_000;
 /**
  * Minimum number of routers assumed to share the retry budget and the limits of endpoints. It may be too high, so that a router that doesn't know its
  * peers yet uses less than its share rather than more.
@@ -94,9 +93,15 @@
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
         getDocumentBehindMs: () => knowledge.getDocumentBehindMs(),
         isReadingStore: () => knowledge.isReadingStore(),
+        getCallerBytes: () => memory.getHeldBytes(),
+        countCallerConnections: () => memory.countConnections(),
     });
+    const memory = createCallerMemory(
+        resolveCallerLimits(settings.callerLimits, settings.resources),
+        createLimitReport(logger, metrics.recordCallerLimit),
+    );
     const service = createCountedService(platform.service, metrics.recordStoreCall);
-    const callers = buildCallerServer(context, getServedIndex, metrics, () => knowledge.isDocumentStale());
+    const callers = buildCallerServer(context, memory, getServedIndex, metrics, () => knowledge.isDocumentStale());
     const knowledge: ClusterView = startClusterView({ settings, service, codec, holder, context, logger });
     const listeners: DirectListeners = await openListeners({
         settings,
@@ -210,6 +215,7 @@
 
 function buildCallerServer(
     context: DirectContext,
+    memory: CallerMemory,
     getIndex: () => RouteIndex | undefined,
     metrics: DirectMetrics,
     isOutdated: () => boolean,
@@ -218,6 +224,7 @@
     const settledLog = createSettledLog(logger);
     return createCallerServer({
         names,
+        memory,
         getIndex,
         filters: [
             createCheckHeaders<DirectExchange>(),
@@ -225,7 +232,7 @@
             createFindTeam(names, isOutdated),
             createReadBody<DirectExchange>(exchange => ({
                 maxBytes: exchange.index.document.limits.bodyBytes,
-                maxMs: BODY_TIMEOUT_MS,
+                maxMs: exchange.memory.limits.bodyMs,
             })),
             createRunRequest(context),
         ],
--- a/src/errors/ErrorCode.ts
+++ b/src/errors/ErrorCode.ts
@@ -14,6 +14,8 @@
     Refused = "Refused",
     Timeout = "Timeout",
     TooLarge = "TooLarge",
+    /** This process holds as many bytes as it may. */
+    OutOfMemory = "OutOfMemory",
     /** The other process sent something that the protocol does not allow. */
     Malformed = "Malformed",
     /** This process ended the call. */
--- a/src/router/Exchange.ts
+++ b/src/router/Exchange.ts
@@ -1,4 +1,5 @@
 import type http from "node:http";
+import type { RequestMemory } from "../memory/index.js";
 import type { Span } from "@opentelemetry/api";
 import type { DocumentIndex, EndpointKind, TeamStructure, WorkRank } from "../config/index.js";
 import type { Cause, EventField } from "../protocol/index.js";
@@ -29,6 +30,8 @@
 export interface Exchange {
     readonly request: http.IncomingMessage;
     readonly response: http.ServerResponse;
+    /** Account of what the request makes the router hold. */
+    readonly memory: RequestMemory;
     readonly span: Span;
     readonly traceId: string;
     /** Monotonic time of arrival, in milliseconds. */
--- a/src/router/RouterServer.ts
+++ b/src/router/RouterServer.ts
@@ -2,9 +2,12 @@
 import type { Socket } from "node:net";
 import { SpanKind } from "@opentelemetry/api";
 import type { DocumentIndex } from "../config/index.js";
+import { type CallerMemory, FULL_REFUSAL, type RequestMemory, createMemoryRefusal } from "../memory/index.js";
 import { Cause, Outcome, type Refusal, sendRefusal } from "../protocol/index.js";
 import { EventId, endSpan } from "../telemetry/index.js";
 import { createConnectionGuard } from "../utils/ConnectionGuard.js";
+import { closeAfterUnreadBody } from "../utils/closeAfterUnreadBody.js";
+import { countHeadBytes } from "../utils/countHeadBytes.js";
 import { readMonotonicMs } from "../utils/time.js";
 import type { Exchange } from "./Exchange.js";
 import type { RouterContext } from "./RouterContext.js";
@@ -28,6 +31,8 @@
     context: RouterContext;
     getIndex: () => DocumentIndex | undefined;
     limits: { bodyBytes: number; bodyMs: number; concurrent: number };
+    /** Account of what callers make the process hold. */
+    memory: CallerMemory;
     onSettled: (settled: SettledExchange) => void;
 }
 
@@ -57,7 +62,7 @@
  * @param options - Context and limits.
  */
 export function createRouterServer(options: RouterServerOptions): RouterServer {
-    const { context, limits } = options;
+    const { context, limits, memory } = options;
     let activeRequests = 0;
     let isDraining = false;
     let isRefusingNew = false;
@@ -83,6 +88,13 @@
         (request, response) => void handle(request, response),
     );
     server.requestTimeout = 0;
+    memory.applySizes(limits.bodyBytes, MAX_HEADER_BYTES);
+    server.on("connection", (socket: Socket) => {
+        if (!memory.addConnection(socket)) {
+            guard.refuseConnection(new Error("no room for a connection"), socket, FULL_REFUSAL);
+            socket.destroySoon();
+        }
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) =>
         guard.refuseConnection(error, socket as Socket, buildMalformedRefusal(error)),
     );
@@ -110,13 +122,20 @@
         if (isDraining) {
             response.setHeader("connection", "close");
         }
+        const requestMemory = memory.openRequest(request, response, countHeadBytes(request));
+        if (requestMemory === undefined) {
+            response.setHeader("connection", "close");
+            sendRefusal(response, createMemoryRefusal());
+            return;
+        }
         const index = options.getIndex();
         if (index === undefined) {
+            closeAfterUnreadBody(request, response);
             sendRefusal(response, createNoDocumentRefusal());
             return;
         }
         activeRequests++;
-        const exchange = createExchange(request, response, index);
+        const exchange = createExchange(request, response, index, requestMemory);
         response.setHeader("x-trace-id", exchange.traceId);
         const refusal = await runWithErrorHandling(exchange);
         activeRequests--;
@@ -127,12 +146,14 @@
         request: http.IncomingMessage,
         response: http.ServerResponse,
         index: DocumentIndex,
+        requestMemory: RequestMemory,
     ): Exchange {
         const parent = context.tracing.readContext(request.headers);
         const span = context.tracing.startSpan("router.request", SpanKind.SERVER, parent, { path: request.url ?? "" });
         return {
             request,
             response,
+            memory: requestMemory,
             span,
             traceId: span.spanContext().traceId,
             arrivedAt: readMonotonicMs(),
@@ -166,7 +187,7 @@
     function settle(exchange: Exchange, refusal: Refusal | undefined): void {
         const { response, span } = exchange;
         if (refusal !== undefined && !response.headersSent && !response.destroyed) {
-            closeConnectionIfBodyUnread(exchange);
+            closeAfterUnreadBody(exchange.request, response);
             sendRefusal(response, refusal, exchange.traceId);
         }
         const outcome = refusal?.outcome ?? Outcome.Ran;
@@ -185,13 +206,6 @@
         endSpan(span, cause === Cause.None ? undefined : cause);
         options.onSettled({ exchange, refusal, endedAt: readMonotonicMs() });
     }
-
-    /** A connection can't be reused if the request body was not read completely. */
-    function closeConnectionIfBodyUnread(exchange: Exchange): void {
-        if (!exchange.request.complete) {
-            exchange.response.setHeader("connection", "close");
-        }
-    }
 }
 
 function buildMalformedRefusal(error: NodeJS.ErrnoException): string {
--- a/src/router/filters/readBody.ts
+++ b/src/router/filters/readBody.ts
@@ -1,12 +1,14 @@
 import type http from "node:http";
 import { ErrorCode, hasErrorCode } from "../../errors/index.js";
+import { type RequestMemory, createMemoryRefusal, readCallerBody } from "../../memory/index.js";
 import { Cause, Outcome, type Refusal } from "../../protocol/index.js";
-import { readWholeBody } from "../../utils/http.js";
 import type { Filter } from "../pipeline.js";
 
 /** What the filter needs of an exchange. */
 export interface BodyExchange {
     readonly request: http.IncomingMessage;
+    /** Account of what the request makes the process hold. */
+    readonly memory: RequestMemory;
     body: Buffer;
 }
 
@@ -33,9 +35,12 @@
             return createTooLarge(options);
         }
         try {
-            exchange.body = await readWithin(exchange.request, options);
+            exchange.body = await readCallerBody(exchange.request, exchange.memory, options);
             return undefined;
         } catch (error) {
+            if (hasErrorCode(error, ErrorCode.OutOfMemory)) {
+                return createMemoryRefusal();
+            }
             if (hasErrorCode(error, ErrorCode.TooLarge)) {
                 return createTooLarge(options);
             }
@@ -48,21 +53,6 @@
     };
 }
 
-function readWithin(request: http.IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
-    return new Promise((resolve, reject) => {
-        const timer = setTimeout(() => reject(createTimeout()), options.maxMs);
-        readWholeBody(request, options.maxBytes)
-            .then(resolve, reject)
-            .finally(() => clearTimeout(timer));
-    });
-}
-
-function createTimeout(): Error {
-    const error = new Error("the body is too slow");
-    error.name = ErrorCode.Timeout;
-    return error;
-}
-
 function createTooLarge(options: ReadBodyOptions): Refusal {
     return createRefusal(STATUS_TOO_LARGE, Cause.BodyTooLarge, `expected at most ${options.maxBytes} bytes`);
 }
--- a/src/router/startRouter.ts
+++ b/src/router/startRouter.ts
@@ -39,6 +39,7 @@
 } from "../telemetry/index.js";
 import { computeHash32 } from "../utils/digest.js";
 import { listenOn, sendJson } from "../utils/http.js";
+import { createCallerMemory, createLimitReport, resolveCallerLimits } from "../memory/index.js";
 import type { RunningProgram } from "../utils/program.js";
 import { readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
 import type { RouterContext } from "./RouterContext.js";
@@ -130,6 +131,10 @@
         context,
         getIndex: holder.getIndex,
         limits: settings.limits,
+        memory: createCallerMemory(
+            resolveCallerLimits(settings.callerLimits, settings.resources),
+            createLimitReport(logger, limit => metrics.callerLimits.inc({ limit })),
+        ),
         onSettled: settled => account.recordSettled(createSettledFacts(settled)),
     });
     const adminApi = createAdminApi({
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -36,6 +36,7 @@
     HostLeft = 5102,
     PeerRejected = 5201,
     PeerUnreachable = 5202,
+    CallerLimitReached = 5341,
     GroupFenced = 6001,
     GroupChangeStaged = 6002,
     GroupChangePermitted = 6003,
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -7,6 +7,8 @@
     requests: Counter<"rank" | "outcome" | "cause">;
     attempts: Counter<"result">;
     firstByteSeconds: Histogram<"rank">;
+    /** Callers that reached a limit. */
+    callerLimits: Counter<"limit">;
     queued: Gauge<"rank">;
     running: Gauge;
     documentVersion: Gauge;
@@ -43,6 +45,12 @@
             buckets: FIRST_BYTE_BUCKETS_S,
             registers,
         }),
+        callerLimits: new Counter({
+            name: "auburnpass_caller_limits_total",
+            help: "Callers that reached a limit",
+            labelNames: ["limit"],
+            registers,
+        }),
         queued: new Gauge({
             name: "auburnpass_queued",
             help: "Requests that wait in the queue",
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,6 +1,7 @@
 import type http from "node:http";
 import { urlToHttpOptions } from "node:url";
 import { ErrorCode, createError } from "../errors/index.js";
+import { type BufferMemory, createBodyBuffer, createFullError } from "./BodyBuffer.js";
 import { openHttpCall } from "./openHttpCall.js";
 import { settleFromEvents } from "./settleFromEvents.js";
 
@@ -27,8 +28,8 @@
 }
 
 const DEFAULT_MAX_BYTES = 16 * 1024 * 1024;
-/** Memory for a body before it is known to be longer, in bytes. */
-const FIRST_BODY_BYTES = 4_096;
+/** Memory of calls whose sizes are bounded otherwise. */
+const UNCOUNTED: BufferMemory = { reserve: () => true, release: () => undefined };
 
 /**
  * Sends a request and reads the whole answer.
@@ -50,20 +51,21 @@
  * @param stream - Stream to read; an end without completion is an error.
  * @param maxBytes - Largest accepted size in bytes.
  * @param maxChunks - Largest accepted number of chunks, as each costs processor time whatever its size.
+ * @param memory - Account of the bytes.
  */
 export function readWholeBody(
     stream: http.IncomingMessage,
     maxBytes: number,
     maxChunks = Number.POSITIVE_INFINITY,
+    memory = UNCOUNTED,
 ): Promise<Buffer> {
     return settleFromEvents(({ resolve, reject, guard }) => {
-        // Small chunks are copied together: each would keep the whole buffer alive that it was read into.
-        let body = Buffer.alloc(FIRST_BODY_BYTES);
-        let size = 0;
+        const announced = Number(stream.headers["content-length"]);
+        const body = createBodyBuffer(memory, announced > 0 && announced <= maxBytes ? announced : undefined);
         let chunks = 0;
         stream.on("data", guard(addChunk));
-        stream.on("end", () => resolve(body.subarray(0, size)));
-        stream.on("error", reject);
+        stream.on("end", complete);
+        stream.on("error", fail);
         stream.on("close", rejectUnlessEnded);
         if (stream.closed) {
             rejectUnlessEnded();
@@ -71,27 +73,38 @@
 
         function addChunk(chunk: Buffer): void {
             chunks++;
+            const size = body.getSize();
             if (size + chunk.length > maxBytes || chunks > maxChunks) {
-                stream.removeAllListeners("data");
-                reject(
+                fail(
                     createError({
                         code: ErrorCode.TooLarge,
                         expected: `at most ${maxBytes} bytes in ${maxChunks} chunks`,
                         got: `more after ${size} bytes in ${chunks - 1} chunks`,
                     }),
                 );
-                return;
+            } else if (!body.addBytes(chunk)) {
+                fail(createFullError());
             }
-            if (size + chunk.length > body.length) {
-                body = Buffer.concat([body.subarray(0, size)], Math.max(size + chunk.length, body.length * 2));
+        }
+
+        function complete(): void {
+            const whole = body.takeWhole();
+            if (whole === undefined) {
+                fail(createFullError());
+            } else {
+                resolve(whole);
             }
-            chunk.copy(body, size);
-            size += chunk.length;
+        }
+
+        function fail(error: Error): void {
+            stream.removeAllListeners("data");
+            body.clear();
+            reject(error);
         }
 
         function rejectUnlessEnded(): void {
             if (!stream.readableEnded) {
-                reject(
+                fail(
                     createError({ code: ErrorCode.Unreachable, expected: "a whole body", got: "a closed connection" }),
                 );
             }
