--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -18,6 +18,8 @@
     recordStoreCall(operation: string, result: CallResult): void;
     /** Counts a request that was held back at the moment of its send, as the endpoint is cold. */
     recordHeldBack(service: string): void;
+    /** Counts a caller that has reached a limit. */
+    recordCallerLimit(limit: string): void;
 }
 
 /** State of the router, read at each scrape. */
@@ -46,6 +48,9 @@
     isReadingStore(): boolean;
     /** Lists the levels of the admission by cost. */
     listAdmissionLevels(): { service: string; level: number }[];
+    /** Bytes held for callers. */
+    getCallerBytes(): number;
+    countCallerConnections(): number;
 }
 
 const NO_TEAM = "none";
@@ -91,6 +96,9 @@
         { name: "auburnpass_admission_total", help: "Requests delayed and refused by admission by cost" },
         ["service", "decision"],
     );
+    const limits = set.addCounter({ name: "auburnpass_caller_limits_total", help: "Callers that reached a limit" }, [
+        "limit",
+    ]);
     addStateGauges(set, state);
     return {
         set,
@@ -98,6 +106,7 @@
         recordDecision: (service, decision) => decisions.addAmount({ service, decision }),
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
         recordHeldBack: service => heldBack.addAmount({ service }),
+        recordCallerLimit: limit => limits.addAmount({ limit }),
     };
 
     function recordSettled(settled: SettledDirectExchange): void {
@@ -170,4 +179,8 @@
     set.addGauge({ name: "auburnpass_reads_store", help: "Whether this router reads the store itself" }, () =>
         state.isReadingStore() ? 1 : 0,
     );
+    set.addGauge({ name: "auburnpass_caller_bytes", help: "Bytes held for callers" }, () => state.getCallerBytes());
+    set.addGauge({ name: "auburnpass_caller_connections", help: "Connections of callers" }, () =>
+        state.countCallerConnections(),
+    );
 }
--- a/src/direct/DirectSettings.ts
+++ b/src/direct/DirectSettings.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { callerLimitsSchema } from "../memory/index.js";
 
 const port = z.number().int().min(1).max(65_535);
 const endpoint = z.strictObject({ address: z.ipv4(), port });
@@ -57,8 +58,12 @@
             /** Share of one core, or number of cores. */
             cores: z.number().min(0).optional(),
             linkMbps: z.number().min(0).optional(),
+            /** Number of file descriptors that the process may have open. */
+            maxFds: z.number().int().min(1).optional(),
         })
         .optional(),
+    /** Bounds on what callers may make the process hold. */
+    callerLimits: callerLimitsSchema.optional(),
 });
 
 /** Checked settings of a direct router. */
--- a/src/telemetry/EventId.ts
+++ b/src/telemetry/EventId.ts
@@ -58,6 +58,7 @@
     OutageNewsMissing = 5334,
     OutageQueueFull = 5335,
     OutageLapsed = 5336,
+    CallerLimitReached = 5341,
     GroupFenced = 6001,
     GroupChangeStaged = 6002,
     GroupChangePermitted = 6003,
