--- a/bench/soak/SoakFaults.ts
+++ b/bench/soak/SoakFaults.ts
@@ -68,7 +68,7 @@
 /** Mean time between two restores of the store, in milliseconds; some follow one another closely. */
 const MEAN_RESTORE_GAP_MS = 5_000;
 /** Mean time between two evacuations, in milliseconds; some overlap. */
-const MEAN_EVACUATION_GAP_MS = 6_000;
+const MEAN_EVACUATION_GAP_MS = 3_000;
 const DELAY_MS = 150;
 const SPOILED_PART = 0.3;
 const RESTART_MS = 300;
