--- a/tests/direct/coldEndpointTests.ts
+++ b/tests/direct/coldEndpointTests.ts
@@ -1,8 +1,11 @@
 import t from "tap";
+import { ErrorCode, createError } from "../../src/errors/index.js";
+import type { KeyValueService } from "../../src/platform/index.js";
 import { readMonotonicMs, waitFor } from "../../src/utils/time.js";
 import { buildList } from "../../src/utils/list.js";
 import type { OwningTest } from "../fixtures.js";
-import { type CallerAnswer, type DirectSystem, callRouter, startDirectSystem } from "./fixtures.js";
+import { writeKey } from "../../standins/platform/writeKey.js";
+import { type CallerAnswer, type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "./fixtures.js";
 import { createScript } from "./noticesFixtures.js";
 
 /**
@@ -16,6 +19,7 @@
 const LEARNING_MS = 3_200;
 const APPLY_MS = 1_000;
 const SECOND_MS = 1_000;
+const POLL_MS = 25;
 const COLD = { "cold-ms": "10000" };
 
 /** Starts a router whose endpoints say in their answers whether they are cold; returns the times of their requests. */
@@ -80,3 +84,39 @@
     t.match(system.lines.join("\n"), /all endpoints are cold and at their rate/);
     t.equal(arrivals[0]?.length, served + 1);
 });
+
+/** A store that answers none of a router's reads. */
+function createSilentStore(store: KeyValueService): KeyValueService {
+    const service = Object.create(store) as KeyValueService;
+    const fail = (): Promise<never> =>
+        Promise.reject(
+            createError({ code: ErrorCode.PlatformUncertain, expected: "an answer from the store", got: "silence" }),
+        );
+    return Object.assign(service, { watchEntries: fail, listSnapshot: fail });
+}
+
+/** Finds for how long an endpoint was cold, by its entry, when a router learned of it, in milliseconds. */
+async function waitForEntryCold({ lines }: DirectSystem): Promise<number> {
+    for (;;) {
+        const line = lines.find(text => text.includes("EndpointCold") && text.includes('"source":"entry"'));
+        if (line !== undefined) {
+            return (JSON.parse(line) as { leftMs: number }).leftMs;
+        }
+        await waitFor(POLL_MS);
+    }
+}
+
+// Guards against coldness that stays with the routers which read the store.
+t.test(
+    "a router that doesn't read the store learns from its peer that an entry says cold, and for how long",
+    async t => {
+        const { system } = await startColdSystem(t, [{}]);
+        const second = await startSecondRouter(t, system, "127.0.0.2", createSilentStore(system.store));
+        const address = `127.0.0.1:${system.endpoints[0]?.port ?? 0}`;
+        const entry = { service: "app", address, zone: "a", slots: 8, state: "ready", born: 1, cold_left_ms: 60_000 };
+        await writeKey(system.store, "servers/i-0", JSON.stringify(entry));
+        t.equal(await waitForEntryCold(system), 60_000);
+        const leftMs = await waitForEntryCold(second);
+        t.ok(leftMs > 0 && leftMs < 60_000, `${leftMs} ms left`);
+    },
+);
