--- a/bench/scheduling/admissionPolicies.ts
+++ b/bench/scheduling/admissionPolicies.ts
@@ -33,6 +33,8 @@
     admissionsPerOldest: number;
     /** Whether requests wait beyond their target. */
     waitsForLate: boolean;
+    /** Whether the delays of refusals are spread. */
+    spreadsReturns: boolean;
     /** Chooses which of the waiting requests goes next; they are listed by age. */
     chooseNext: (waiting: readonly WaitingValue[], now: number) => WaitingValue | undefined;
     /** Gets the position of a request that the level is compared with. */
@@ -48,6 +50,7 @@
     drawsSlots: true,
     admissionsPerOldest: 0,
     waitsForLate: false,
+    spreadsReturns: false,
     getPosition: ({ position }) => position,
     aboveLevel: AboveLevel.Ignored,
     isShared: true,
@@ -74,6 +77,7 @@
     name: "auburnpass",
     chooseNext: chooseNextRequest,
     waitsForLate: true,
+    spreadsReturns: true,
     aboveLevel: AboveLevel.Refused,
 };
 
--- a/bench/scheduling/admissionSimulation.ts
+++ b/bench/scheduling/admissionSimulation.ts
@@ -1,6 +1,7 @@
 import {
     type AdmissionLevels,
     type RequestValuer,
+    computeReturnDelay,
     computeSlotChance,
     isBehindTarget,
     createAdmissionLevels,
@@ -288,7 +289,9 @@
             return;
         }
         call.isSettled = true;
-        const delayMs = Math.max(MIN_DELAY_MS, (deadlineAt - now) * DELAY_SHARE);
+        const delayMs = policy.spreadsReturns
+            ? (computeReturnDelay(deadlineAt - now, random.draw()) ?? Number.POSITIVE_INFINITY)
+            : Math.max(MIN_DELAY_MS, (deadlineAt - now) * DELAY_SHARE);
         queue.schedule(now + delayMs, () => handleArrival(call.request, true, deadlineAt));
     }
 
--- a/src/direct/DirectExchange.ts
+++ b/src/direct/DirectExchange.ts
@@ -59,6 +59,11 @@
     firstByteAt: number | undefined;
     /** Why the answer was cut off. */
     failureCause: Cause | undefined;
+    /**
+     * Delay after which the caller should return if the admission refuses it, in milliseconds; 0 if it should not return,
+     * undefined if the admission names none.
+     */
+    admissionDelayMs: number | undefined;
     /** Moves the deadline forward; a time after the current deadline has no effect. */
     shortenDeadline(at: number): void;
     /** Cancels the deadline timer. */
@@ -98,6 +103,7 @@
         longestPauseMs: 0,
         firstByteAt: undefined,
         failureCause: undefined,
+        admissionDelayMs: undefined,
         shortenDeadline(at) {
             if (at < deadlineAt) {
                 deadlineAt = at;
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -3,7 +3,7 @@
 import { readMonotonicMs } from "../utils/time.js";
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
 import type { EndpointCandidates, RequestDemand } from "./candidates/index.js";
-import type { CostAdmission } from "./admission/index.js";
+import { type CostAdmission, isBlockedForNow } from "./admission/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -96,7 +96,7 @@
         const untried = listUntried(service, exchange.demand, tried, now);
         if (!needsFreeSlot || hasFreeSlot) {
             const open = limiter.drawOpen(untried, service, 1, now);
-            if (open.length > 0 || untried.length === 0) {
+            if (open.length > 0 || hasNoCandidate(exchange, untried, tried, now)) {
                 return Promise.resolve(open);
             }
         }
@@ -147,6 +147,16 @@
         return candidates.listCandidates(service, demand, now).filter(({ id }) => !tried.has(id));
     }
 
+    /** Tells whether a request has no endpoint and need not wait for one either. */
+    function hasNoCandidate(
+        { service, demand }: RoutedExchange,
+        untried: readonly EndpointRecord[],
+        tried: ReadonlySet<string>,
+        now: number,
+    ): boolean {
+        return untried.length === 0 && !isBlockedForNow(candidates, service, demand, tried, now);
+    }
+
     function startPolling(service: string): void {
         if (polledServices.has(service)) {
             return;
@@ -171,7 +181,7 @@
         const now = readMonotonicMs();
         const untried = listUntried(service, next.exchange.demand, next.tried, now);
         const open = limiter.drawOpen(untried, service, queued.length, now);
-        if (open.length === 0 && untried.length > 0) {
+        if (open.length === 0 && !hasNoCandidate(next.exchange, untried, next.tried, now)) {
             return;
         }
         next.finish(open);
--- a/src/direct/admission/CostAdmission.ts
+++ b/src/direct/admission/CostAdmission.ts
@@ -5,6 +5,7 @@
     type RequestValuer,
     type SharedRateLimiter,
     chooseNextRequest,
+    computeReturnDelay,
     computeSlotChance,
     createAdmissionLevels,
     createRequestValuer,
@@ -20,6 +21,7 @@
 import type { EndpointCandidates } from "../candidates/index.js";
 import { AdmissionDecision } from "./AdmissionDecision.js";
 import { computeReadMs, computeSlotWork } from "./computeSlotWork.js";
+import { isBlockedForNow } from "./isBlockedForNow.js";
 import { findLongestTarget } from "./findLongestTarget.js";
 
 /**
@@ -45,7 +47,7 @@
     load: Pick<LoadTracker, "getLoad">;
     pace: Pick<ConcurrencyLimiter, "getAllowedShare">;
     limiter: Pick<SharedRateLimiter, "drawOpen">;
-    candidates: Pick<EndpointCandidates, "listCandidates">;
+    candidates: Pick<EndpointCandidates, "listCandidates" | "assessEndpoints">;
     /** Gets the average time from a send to the first event, in milliseconds. */
     getFirstEventMs: (service: string) => number;
     /** Gets the time until the routers know what each other do, in milliseconds. */
@@ -80,9 +82,11 @@
     count: number;
     /** Share of all slots that is in use or asked for; more than 1 if requests wait at the endpoints. */
     usedShare: number;
+    /** Whether there is an endpoint now, or will be one without a change of the service. */
     hasCandidates: boolean;
 }
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
 /** Interval at which waiting requests try to use a free slot, in milliseconds. */
 const POLL_INTERVAL_MS = 25;
 /** One in this many admissions goes to the oldest request, so that none is passed over until its wait ends. */
@@ -125,7 +129,7 @@
         const waitMs = computeLongestWait(exchange, queue, now);
         const refusal = findRefusal(value.position > 1 - level && slots.usedShare >= MIN_USED_SHARE, waitMs);
         if (refusal !== undefined) {
-            onDecision(service, refusal);
+            recordRefusal(exchange, refusal);
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => addWaiting(exchange, queue, value, waitMs, resolve));
@@ -156,6 +160,12 @@
         return isAbove ? AdmissionDecision.AboveLevel : undefined;
     }
 
+    function recordRefusal(exchange: RoutedExchange, decision: AdmissionDecision): void {
+        const leftMs = exchange.deadlineAt - readMonotonicMs();
+        exchange.admissionDelayMs = computeReturnDelay(leftMs, drawRandom()) ?? 0;
+        onDecision(exchange.service, decision);
+    }
+
     function addWaiting(
         exchange: RoutedExchange,
         queue: ServiceQueue,
@@ -167,7 +177,7 @@
         const entry: QueuedRequest = { ...value, exchange, finish };
         const { signal } = exchange.abortController;
         const timer = setTimeout(() => {
-            onDecision(service, AdmissionDecision.WaitEnded);
+            recordRefusal(exchange, AdmissionDecision.WaitEnded);
             finish(undefined);
         }, waitMs);
         const abandon = (): void => finish(undefined);
@@ -258,7 +268,7 @@
             endpoints: free.map(({ endpoint }) => endpoint),
             count: free.reduce((sum, { limit, used }) => sum + limit - used, 0),
             usedShare: listed.reduce((sum, { used }) => sum + used, 0) / Math.max(1, slots),
-            hasCandidates: listed.length > 0,
+            hasCandidates: listed.length > 0 || isBlockedForNow(candidates, service, demand, NONE_TRIED, now),
         };
     }
 
--- a/src/direct/admission/index.ts
+++ b/src/direct/admission/index.ts
@@ -1,2 +1,3 @@
 export * from "./AdmissionDecision.js";
 export * from "./CostAdmission.js";
+export * from "./isBlockedForNow.js";
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -103,8 +103,9 @@
  * @param exchange - Exchange that waited.
  */
 export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange): Refusal {
-    const delayMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - readMonotonicMs()) * RETRY_DELAY_FRACTION);
-    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs);
+    const longestMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - readMonotonicMs()) * RETRY_DELAY_FRACTION);
+    const delayMs = exchange.admissionDelayMs ?? longestMs;
+    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs || undefined);
 }
 
 /**
--- a/src/scheduling/RequestValue.ts
+++ b/src/scheduling/RequestValue.ts
@@ -29,7 +29,7 @@
  * Share of the requests whose work counts as that of any request of their kind if that is less. They are served as often as
  * the kind, so that the largest are served at least half as often.
  */
-const SIZE_BLIND_SHARE = 0.65;
+const SIZE_BLIND_SHARE = 0.75;
 /**
  * Share of the requests that count as of the most urgent kind. They are served as often as that one, so that each kind is
  * served at least a quarter as often.
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -17,3 +17,4 @@
 export * from "./RequestValue.js";
 export * from "./WorkDistribution.js";
 export * from "./slotChance.js";
+export * from "./returnDelay.js";
--- a/tests/direct/admissionTests.ts
+++ b/tests/direct/admissionTests.ts
@@ -5,7 +5,13 @@
 import { createLogger } from "../../src/telemetry/logger.js";
 import { createLoadTracker } from "../../src/direct/LoadTracker.js";
 import { createEndpointPauses } from "../../src/direct/EndpointPauses.js";
-import { createEndpointCandidates, createLeavingRule, createPauseRule } from "../../src/direct/candidates/index.js";
+import type { EndpointRecord } from "../../src/direct/EndpointRecord.js";
+import {
+    ExclusionReason,
+    createEndpointCandidates,
+    createLeavingRule,
+    createPauseRule,
+} from "../../src/direct/candidates/index.js";
 import { createEndpointNotices } from "../../src/direct/EndpointNotices.js";
 import { createRequestAdmission } from "../../src/direct/RequestAdmission.js";
 
@@ -40,6 +46,7 @@
     return {
         load,
         limiter,
+        candidates,
         admission,
         /** Waits for the first send of a request; returns whether it was admitted. */
         async waitForCapacity(exchange: RoutedExchange): Promise<boolean> {
@@ -175,3 +182,29 @@
     t.equal(admission.computeUtilization("llm"), 1);
     t.end();
 });
+
+t.test(
+    "a request waits while all endpoints have taken what they stand, and not while they are excluded otherwise",
+    async t => {
+        t.clock.enter();
+        const { candidates, admission } = startAdmission();
+        const excluded = (reason: ExclusionReason) => {
+            candidates.listCandidates = () => [];
+            candidates.assessEndpoints = () => [{ endpoint: { id: "i-1" } as EndpointRecord, reasons: [reason] }];
+        };
+        excluded(ExclusionReason.Evacuated);
+        t.strictSame(await admission.waitForEndpoints(buildExchange(0), new Set(), true), []);
+        const { listCandidates, assessEndpoints } = candidates;
+        excluded(ExclusionReason.Cold);
+        const answers: unknown[] = [];
+        const waiting = admission.waitForEndpoints(buildExchange(0), new Set(), true).then(open => answers.push(open));
+        t.clock.advance(100);
+        await Promise.resolve();
+        t.strictSame(answers, [], "its share of a cold endpoint is used up for now");
+        Object.assign(candidates, { listCandidates, assessEndpoints });
+        t.clock.advance(50);
+        await waiting;
+        t.strictSame(answers, [[]]);
+        t.clock.exit();
+    },
+);
