--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -154,12 +154,13 @@
  */
 export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
     const now = readMonotonicMs();
-    const delayMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - now) * RETRY_DELAY_FRACTION);
     if (context.candidates.listCandidates(exchange.service, exchange.demand, now).length === 0) {
         const coldDelayMs = computeRetryDelay(exchange, COLD_RETRY_DELAY_MS);
         return createRefusal(state, Cause.Overload, "all endpoints are cold and at their rate", coldDelayMs);
     }
-    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs);
+    const longestMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - now) * RETRY_DELAY_FRACTION);
+    const delayMs = exchange.admissionDelayMs ?? longestMs;
+    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs || undefined);
 }
 
 /**
