--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -4,7 +4,7 @@
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
 import { type EndpointCandidates, ExclusionReason, type RequestDemand } from "./candidates/index.js";
 import type { ColdEndpoints } from "./cold/index.js";
-import type { CostAdmission } from "./admission/index.js";
+import { type CostAdmission, isBlockedForNow } from "./admission/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -181,7 +181,7 @@
         untried: readonly EndpointRecord[],
         now: number,
     ): boolean {
-        return untried.length > 0 || listHeldBack(service, demand, tried, now).length > 0;
+        return untried.length > 0 || isBlockedForNow(candidates, service, demand, tried, now);
     }
 
     function startPolling(service: string): void {
