--- a/src/logs/explainLogs.ts
+++ b/src/logs/explainLogs.ts
@@ -8,6 +8,7 @@
     StoreAway = "the platform's store was out of reach",
     HostCutOff = "some hosts had lost touch with the platform's store",
     CrashingPart = "a part of prompts crashed endpoints",
+    ZoneEvacuated = "an availability zone was evacuated",
     GroupBroken = "a group lacked ranks, and took no work",
     SlowRank = "a slow rank held its group up",
     ChangeUnsettled = "a change of a group's map could not be ended",
@@ -65,6 +66,12 @@
         LogCause.NotInForce,
         (request, near) => isOfAny(request, CONFIGURED) && (findEvent(near, EventId.DocumentApplied) ?? request),
     ],
+    [
+        LogCause.ZoneEvacuated,
+        // The line of the evacuation may be much older than the request.
+        (request, near) =>
+            isOf(request, Cause.ZoneEvacuated) && (findEvent(near, EventId.EvacuationStarted) ?? request),
+    ],
     [LogCause.ProcessesStarted, findStarts],
     [LogCause.CrashingPart, findCrashingPart],
     [LogCause.GroupBroken, (request, near) => isOfAny(request, REFUSED) && findEvent(near, EventId.GroupIncomplete)],
--- a/tests/logs/explainLogsTests.ts
+++ b/tests/logs/explainLogsTests.ts
@@ -29,6 +29,10 @@
         lines: [buildLine(9_500, "router-1", EventId.DocumentApplied), buildRequest(10_000, Cause.UnknownTeam)],
         cause: LogCause.NotInForce,
     },
+    "an evacuated zone": {
+        lines: [buildLine(9_000, "router-1", EventId.EvacuationStarted), buildRequest(10_000, Cause.ZoneEvacuated)],
+        cause: LogCause.ZoneEvacuated,
+    },
     "a loss of power": {
         lines: [
             ...HOSTS.map(host => buildLine(11_000, host, EventId.ProcessStarted)),
