Plain ports, control ports and agents are bounded like the port for callers

Cause: readiness, metrics, control and operator ports and the agents' data port had no bound on connections, and read on bodies that nobody wanted: 250 MiB at the peak beside 180 chunked bodies.

Change: createPlainServer bounds connections, heads, bodies and time of ports that have few clients, and closes a connection whose body wasn't read. The operator's API and the agents read bodies through the account. Agents take the settings callerLimits and resources.

--- a/src/admin/AdminApi.ts
+++ b/src/admin/AdminApi.ts
@@ -11,12 +11,13 @@
 } from "../account/index.js";
 import { type RouterSettings, WORK_RANKS, WorkRank } from "../config/index.js";
 import { ErrorCode, hasErrorCode } from "../errors/index.js";
+import { type RequestMemory, readCallerBody } from "../memory/index.js";
 import { type EndpointTable, isUsable } from "../membership/index.js";
 import type { KeyValueService } from "../platform/index.js";
 import { getHeader } from "../protocol/index.js";
 import { EventId, type Logger } from "../telemetry/index.js";
 import { computeKeyDigest, isEqualInConstantTime } from "../utils/digest.js";
-import { readWholeBody, sendJson } from "../utils/http.js";
+import { sendJson } from "../utils/http.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type ChangeOptions, type ChangeReport, ChangeStatus, applyChange, promoteTrial } from "./promote.js";
 
@@ -33,7 +34,11 @@
 }
 
 /** Handles requests below `/admin/v1/`. */
-export type AdminHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
+export type AdminHandler = (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    memory: RequestMemory,
+) => Promise<void>;
 
 /** State of an endpoint as the status shows it. */
 export interface EndpointStatus {
@@ -87,14 +92,14 @@
  */
 export function createAdminApi(options: AdminApiOptions): AdminHandler {
     const { settings, change, logger } = options;
-    return async (request, response) => {
+    return async (request, response, memory) => {
         const operator = findOperator(request);
         if (operator === undefined) {
             sendJson(response, STATUS_UNAUTHORIZED, { error: "expected the key of an operator" });
             return;
         }
         try {
-            await route(request, response, operator);
+            await route(request, response, operator, memory);
         } catch (error) {
             sendFailure(response, error);
         }
@@ -110,6 +115,7 @@
         request: http.IncomingMessage,
         response: http.ServerResponse,
         operator: string,
+        memory: RequestMemory,
     ): Promise<void> {
         const url = new URL(request.url ?? "/", "http://router");
         const path = url.pathname.replace("/admin/v1", "");
@@ -123,7 +129,7 @@
             .when(
                 () => environment !== undefined && request.method === "PUT",
                 async () => {
-                    const body = applySchema.parse(await readJson(request));
+                    const body = applySchema.parse(await readJson(request, memory));
                     const structure = { ...body, environment: environment ?? "", operator };
                     sendReport(response, await applyChange(change, structure), operator);
                 },
@@ -133,7 +139,7 @@
                 async () => sendJson(response, STATUS_OK, { isDraining: await options.drainEndpoint(drained ?? "") }),
             )
             .with({ method: "POST", path: "/promotions" }, async () => {
-                const body = promotionSchema.parse(await readJson(request));
+                const body = promotionSchema.parse(await readJson(request, memory));
                 const report = await promoteTrial(change, body.trialVersion, body.productionVersion, operator);
                 sendReport(response, report, operator);
             })
@@ -217,8 +223,8 @@
     }
 }
 
-async function readJson(request: http.IncomingMessage): Promise<unknown> {
-    const body = await readWholeBody(request, MAX_BODY_BYTES);
+async function readJson(request: http.IncomingMessage, memory: RequestMemory): Promise<unknown> {
+    const body = await readCallerBody(request, memory, { maxBytes: MAX_BODY_BYTES, maxMs: memory.limits.bodyMs });
     return JSON.parse(body.toString("utf8"));
 }
 
--- a/src/agent/AgentServer.ts
+++ b/src/agent/AgentServer.ts
@@ -1,6 +1,16 @@
 import http from "node:http";
+import type { Socket } from "node:net";
 import { ROOT_CONTEXT, SpanKind, trace } from "@opentelemetry/api";
 import { WORK_RANKS, type WorkRank } from "../config/index.js";
+import { ErrorCode, hasErrorCode } from "../errors/index.js";
+import {
+    type CallerMemory,
+    type RequestMemory,
+    createCallerMemory,
+    createMemoryRefusal,
+    readCallerBody,
+    resolveCallerLimits,
+} from "../memory/index.js";
 import {
     Cause,
     EventField,
@@ -11,8 +21,10 @@
     sendRefusal,
 } from "../protocol/index.js";
 import { type Tracing, endSpan } from "../telemetry/index.js";
+import { closeAfterUnreadBody } from "../utils/closeAfterUnreadBody.js";
+import { countHeadBytes } from "../utils/countHeadBytes.js";
 import { isEqualInConstantTime } from "../utils/digest.js";
-import { readWholeBody, sendJson } from "../utils/http.js";
+import { sendJson } from "../utils/http.js";
 import { watchDisconnect } from "../utils/watchDisconnect.js";
 import type { AgentCore, AgentRefusal, AttemptRequest } from "./AgentCore.js";
 import type { AttemptRecord } from "./AttemptLedger.js";
@@ -24,6 +36,8 @@
     tracing: Tracing;
     processKeys: readonly string[];
     maxBodyBytes: number;
+    /** Account of what routers make the agent hold; without it, the default bounds hold. */
+    memory?: CallerMemory;
 }
 
 const STATUS_UNAUTHORIZED = 401;
@@ -41,26 +55,41 @@
  * @param options - Core and keys.
  */
 export function createAgentServer(options: AgentServerOptions): http.Server {
-    const { core, tracing } = options;
+    const { core, tracing, memory = createCallerMemory(resolveCallerLimits(), () => undefined) } = options;
     const silent = new Set<http.ServerResponse>();
     const progress = setInterval(sendProgress, PROGRESS_MS);
     const server = http.createServer((request, response) => {
+        const requestMemory = memory.openRequest(request, response, countHeadBytes(request));
+        if (requestMemory === undefined) {
+            response.setHeader("connection", "close");
+            sendRefusal(response, createMemoryRefusal());
+            return;
+        }
         if (!isAuthorized(request)) {
+            closeAfterUnreadBody(request, response);
             sendJson(response, STATUS_UNAUTHORIZED, { error: "expected a process key" });
             return;
         }
         const attempt = ATTEMPT_PATH.exec(request.url ?? "");
         const answer = ANSWER_PATH.exec(request.url ?? "");
         if (attempt) {
-            void handleAttempt(request, response, attempt[1] ?? "", attempt[2] ?? "/");
+            void handleAttempt(request, response, requestMemory, attempt[1] ?? "", attempt[2] ?? "/");
         } else if (answer) {
             followAnswer(response, answer[1] ?? "", Number(answer[2]));
         } else {
+            closeAfterUnreadBody(request, response);
             sendJson(response, STATUS_NOT_FOUND, { error: "expected an attempt or an answer" });
         }
     });
     server.on("close", () => clearInterval(progress));
     server.requestTimeout = 0;
+    memory.applySizes(options.maxBodyBytes, http.maxHeaderSize);
+    server.on("connection", (socket: Socket) => {
+        if (!memory.addConnection(socket)) {
+            socket.destroy();
+        }
+    });
+    server.on("upgrade", (request: http.IncomingMessage) => memory.removeConnection(request.socket));
     return server;
 
     function isAuthorized(request: http.IncomingMessage): boolean {
@@ -71,14 +100,22 @@
     async function handleAttempt(
         request: http.IncomingMessage,
         response: http.ServerResponse,
+        requestMemory: RequestMemory,
         id: string,
         path: string,
     ): Promise<void> {
         let body: Buffer;
         try {
-            body = await readWholeBody(request, options.maxBodyBytes);
-        } catch {
-            response.destroy();
+            const bounds = { maxBytes: options.maxBodyBytes, maxMs: requestMemory.limits.bodyMs };
+            body = await readCallerBody(request, requestMemory, bounds);
+        } catch (error) {
+            if (hasErrorCode(error, ErrorCode.OutOfMemory) && !response.destroyed) {
+                closeAfterUnreadBody(request, response);
+                response.setHeader(HopHeader.Load, encodeLoad(core));
+                sendRefusal(response, createMemoryRefusal());
+            } else {
+                response.destroy();
+            }
             return;
         }
         const attempt = readAttempt(request, id, path, body);
--- a/src/agent/startAgent.ts
+++ b/src/agent/startAgent.ts
@@ -14,6 +14,7 @@
 import { type GroupMember, startGroupMember } from "./GroupMember.js";
 import { createHandoverStore } from "./Handover.js";
 import { startHeartbeats } from "./HeartbeatSender.js";
+import { createCallerMemory, createLimitReport, resolveCallerLimits } from "../memory/index.js";
 import { buildAgentControl } from "./agentControl.js";
 
 const HOST_LIST_MS = 1_000;
@@ -68,11 +69,13 @@
         logger,
     });
     const handovers = createHandoverStore(createHttpKeyValueService({ url: settings.platform.keyValue }));
+    const reportLimit = createLimitReport(logger, limit => metrics.callerLimits.inc({ limit }));
     const server = createAgentServer({
         core,
         tracing,
         processKeys: settings.processKeys,
         maxBodyBytes: MAX_BODY_BYTES,
+        memory: createCallerMemory(resolveCallerLimits(settings.callerLimits, settings.resources), reportLimit),
     });
     let member: GroupMember | undefined;
     const control = startControlServer(
@@ -113,6 +116,7 @@
         { isReady: () => !core.getLoad().isDraining },
         settings.listen.metrics,
         settings.listen.address,
+        reportLimit,
     );
     if (settings.group !== undefined) {
         member = startGroupMember({
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -30,6 +30,12 @@
     /** Routers that are known without the platform. */
     routers: z.array(seedSchema).default([]),
     traces: tracesSchema.optional(),
+    /** Bounds on what callers may make the process hold. */
+    callerLimits: callerLimitsSchema.optional(),
+    /** What the host gives the process; absent fields are unknown. */
+    resources: z
+        .strictObject({ memoryMb: z.number().min(1).optional(), maxFds: z.number().int().min(1).optional() })
+        .optional(),
 };
 
 /** Schema of a router's settings. */
@@ -40,12 +46,6 @@
     operators: z
         .array(z.strictObject({ name: z.string().min(1), keyDigest: z.string().regex(/^[0-9a-f]{64}$/) }))
         .default([]),
-    /** Bounds on what callers may make the process hold. */
-    callerLimits: callerLimitsSchema.optional(),
-    /** What the host gives the process; absent fields are unknown. */
-    resources: z
-        .strictObject({ memoryMb: z.number().min(1).optional(), maxFds: z.number().int().min(1).optional() })
-        .optional(),
     limits: z
         .strictObject({
             bodyBytes: z
--- a/src/control/openControlPort.ts
+++ b/src/control/openControlPort.ts
@@ -1,5 +1,5 @@
-import http from "node:http";
 import type { AnyTRPCRouter } from "@trpc/server";
+import { type ReportLimit, createPlainServer } from "../memory/index.js";
 import { listenOn } from "../utils/http.js";
 import { startControlServer } from "./ControlServer.js";
 
@@ -15,16 +15,24 @@
     router: AnyTRPCRouter;
     /** Key between processes. */
     processKey: string;
+    /** Called when a client reaches a limit. */
+    report?: ReportLimit;
 }
 
 const STATUS_NOT_FOUND = 404;
+/** Connections that are not yet upgraded; many processes connect at once after a restart. */
+const MAX_CONNECTIONS = 128;
 
 /**
  * Opens a port for control calls.
  * @param options - Address and procedures.
  */
 export async function openControlPort(options: ControlPortOptions): Promise<ControlPort> {
-    const server = http.createServer((request, response) => response.writeHead(STATUS_NOT_FOUND).end());
+    const server = createPlainServer({
+        handle: (request, response) => response.writeHead(STATUS_NOT_FOUND).end(),
+        report: options.report,
+        maxConnections: MAX_CONNECTIONS,
+    });
     await listenOn(server, options.port, options.address);
     const calls = startControlServer(server, options.router, [options.processKey]);
     return {
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -96,10 +96,8 @@
         getCallerBytes: () => memory.getHeldBytes(),
         countCallerConnections: () => memory.countConnections(),
     });
-    const memory = createCallerMemory(
-        resolveCallerLimits(settings.callerLimits, settings.resources),
-        createLimitReport(logger, metrics.recordCallerLimit),
-    );
+    const reportLimit = createLimitReport(logger, metrics.recordCallerLimit);
+    const memory = createCallerMemory(resolveCallerLimits(settings.callerLimits, settings.resources), reportLimit);
     const service = createCountedService(platform.service, metrics.recordStoreCall);
     const callers = buildCallerServer(context, memory, getServedIndex, metrics, () => knowledge.isDocumentStale());
     const knowledge: ClusterView = startClusterView({ settings, service, codec, holder, context, logger });
@@ -108,6 +106,7 @@
         callers,
         metrics: metrics.set,
         control: buildDirectControl(knowledge),
+        reportLimit,
         isServing: () => !isDraining && getServedIndex() !== undefined && context.directory.countRecords() > 0,
     });
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
--- a/src/groups/ordered/RankMetrics.ts
+++ b/src/groups/ordered/RankMetrics.ts
@@ -10,6 +10,8 @@
     recordChange(end: ChangeEnd): void;
     /** Counts a call to the platform's store. */
     recordStoreCall(operation: string, result: CallResult): void;
+    /** Counts a client that has reached a limit. */
+    recordCallerLimit(limit: string): void;
 }
 
 /**
@@ -26,6 +28,9 @@
         "operation",
         "result",
     ]);
+    const limits = set.addCounter({ name: "auburnpass_caller_limits_total", help: "Callers that reached a limit" }, [
+        "limit",
+    ]);
     set.addGauge({ name: "auburnpass_map_office", help: "1 while this agent coordinates its group" }, () =>
         isLeader() ? 1 : 0,
     );
@@ -34,5 +39,6 @@
         recordRound: isWhole => rounds.addAmount({ whole: String(isWhole) }),
         recordChange: end => changes.addAmount({ end }),
         recordStoreCall: (operation, result) => storeCalls.addAmount({ operation, result }),
+        recordCallerLimit: limit => limits.addAmount({ limit }),
     };
 }
--- a/src/groups/ordered/startRankAgent.ts
+++ b/src/groups/ordered/startRankAgent.ts
@@ -1,5 +1,6 @@
 import { openControlPort } from "../../control/index.js";
 import type { DirectCodec } from "../../direct/index.js";
+import { createLimitReport } from "../../memory/index.js";
 import { type KeyValueService, createCountedService } from "../../platform/index.js";
 import { EventId, type Logger, createFailureStreak, startMetricsServer } from "../../telemetry/index.js";
 import type { RunningProgram } from "../../utils/runUntilSignal.js";
@@ -68,9 +69,10 @@
     const coordination = createCoordination(settings, { ...platform, service }, election, metrics, logger);
     const relay = createBranchRelay(processKey);
     const router = buildRankControl({ link: platform.link, acceptTerm: election.acceptTerm, relay });
+    const report = createLimitReport(logger, metrics.recordCallerLimit);
     const [control, monitoring] = await Promise.all([
-        openControlPort({ address, port: controlPort, router, processKey }),
-        startMetricsServer(metrics.set, { isReady: () => true }, metricsPort, address),
+        openControlPort({ address, port: controlPort, router, processKey, report }),
+        startMetricsServer(metrics.set, { isReady: () => true }, metricsPort, address, report),
     ]);
     const failures = createFailureStreak(logger, "map round");
     const loop: Loop = startLoop(ROUND_INTERVAL_MS, runRound, failures.recordFailure);
--- a/src/memory/CallerLimits.ts
+++ b/src/memory/CallerLimits.ts
@@ -72,8 +72,8 @@
 const DEFAULT_BYTES_PER_CHUNK = 64;
 /** Clients that pipeline at all keep a few requests in progress. */
 const DEFAULT_PIPELINED = 128;
-/** Descriptors for the ports, the store, peers and logs. */
-const RESERVED_FDS = 64;
+/** Descriptors for the store, peers and logs (64), and for the connections of the other ports (64, 64 and 128). */
+const RESERVED_FDS = 320;
 /** Descriptors of a request: the caller's connection and that to an endpoint. */
 const FDS_PER_CALLER = 2;
 /** Some seconds of a fast stream; an endpoint cuts a response that stays unread for longer. */
--- a/src/memory/CallerMemory.ts
+++ b/src/memory/CallerMemory.ts
@@ -41,6 +41,8 @@
         response: http.ServerResponse,
         headBytes: number,
     ): RequestMemory | undefined;
+    /** Stops counting a connection that is no longer one of the server. */
+    removeConnection(socket: Socket): void;
     /** Applies the limits on bodies and heads of the configuration. */
     applySizes(bodyBytes: number, headBytes: number): void;
     getHeldBytes(): number;
@@ -96,6 +98,12 @@
     });
     return {
         addConnection,
+        removeConnection(socket) {
+            const state = connections.get(socket);
+            if (state !== undefined) {
+                forgetConnection(state);
+            }
+        },
         openRequest,
         applySizes(bodyBytes, headSize) {
             headBytes = headSize;
--- a/src/memory/LimitReport.ts
+++ b/src/memory/LimitReport.ts
@@ -1,4 +1,5 @@
-import { EventId, type Logger } from "../telemetry/index.js";
+import { EventId } from "../telemetry/EventId.js";
+import type { Logger } from "../telemetry/logger.js";
 import { MS_PER_SECOND, readMonotonicMs } from "../utils/time.js";
 import type { CallerLimit } from "./CallerLimits.js";
 import type { ReportLimit } from "./CallerMemory.js";
--- a/src/router/startRouter.ts
+++ b/src/router/startRouter.ts
@@ -1,4 +1,3 @@
-import http from "node:http";
 import { IncidentKind, type SettledFacts, createAccount, startSummaryWriter } from "../account/index.js";
 import { type AdminHandler, createAdminApi } from "../admin/AdminApi.js";
 import { createHandoverStore } from "../agent/Handover.js";
@@ -39,7 +38,13 @@
 } from "../telemetry/index.js";
 import { computeHash32 } from "../utils/digest.js";
 import { listenOn, sendJson } from "../utils/http.js";
-import { createCallerMemory, createLimitReport, resolveCallerLimits } from "../memory/index.js";
+import {
+    type ReportLimit,
+    createCallerMemory,
+    createLimitReport,
+    createPlainServer,
+    resolveCallerLimits,
+} from "../memory/index.js";
 import type { RunningProgram } from "../utils/program.js";
 import { readMonotonicMs, startLoop, waitFor } from "../utils/time.js";
 import type { RouterContext } from "./RouterContext.js";
@@ -56,6 +61,8 @@
 const MAX_LOAD_FACTOR = 1.25;
 const ZONE_TOLERANCE = 0.25;
 const STATUS_NOT_FOUND = 404;
+/** Connections of operators, and of processes before their upgrade; many connect at once after a restart. */
+const MAX_CONTROL_CONNECTIONS = 128;
 const DRAIN_POLL_INTERVAL_MS = 50;
 
 /**
@@ -127,14 +134,12 @@
         account.recordIncident(IncidentKind.DocumentApplied, String(stored.version));
         void exchange.sendNow();
     });
+    const reportLimit = createLimitReport(logger, limit => metrics.callerLimits.inc({ limit }));
     const callerServer = createRouterServer({
         context,
         getIndex: holder.getIndex,
         limits: settings.limits,
-        memory: createCallerMemory(
-            resolveCallerLimits(settings.callerLimits, settings.resources),
-            createLimitReport(logger, limit => metrics.callerLimits.inc({ limit })),
-        ),
+        memory: createCallerMemory(resolveCallerLimits(settings.callerLimits, settings.resources), reportLimit),
         onSettled: settled => account.recordSettled(createSettledFacts(settled)),
     });
     const adminApi = createAdminApi({
@@ -165,12 +170,14 @@
         quarantine,
         zone: settings.zone,
         adminApi,
+        reportLimit,
     });
     const metricsServer = await startMetricsServer(
         metrics,
         { isReady: () => holder.getVersion() > 0 && !callerServer.isDraining() },
         settings.listen.metrics,
         settings.listen.address,
+        reportLimit,
     );
     const hostListLoop = startHostListLoop({
         table,
@@ -234,16 +241,22 @@
     quarantine: PartQuarantine;
     zone: string;
     adminApi: AdminHandler;
+    reportLimit: ReportLimit;
 }
 
 async function startControl(settings: RouterSettings, dependencies: ControlDependencies): Promise<{ close(): void }> {
     const { holder, table, exchange } = dependencies;
-    const server = http.createServer((request, response) => {
-        if (request.url?.startsWith("/admin/v1/") === true) {
-            void dependencies.adminApi(request, response);
-        } else {
-            sendJson(response, STATUS_NOT_FOUND, { error: "expected a path below /admin/v1/" });
-        }
+    const server = createPlainServer({
+        readsBodies: true,
+        maxConnections: MAX_CONTROL_CONNECTIONS,
+        report: dependencies.reportLimit,
+        handle(request, response, memory) {
+            if (request.url?.startsWith("/admin/v1/") === true) {
+                void dependencies.adminApi(request, response, memory);
+            } else {
+                sendJson(response, STATUS_NOT_FOUND, { error: "expected a path below /admin/v1/" });
+            }
+        },
     });
     const router = buildRouterControl({
         holder,
--- a/src/telemetry/startMetricsServer.ts
+++ b/src/telemetry/startMetricsServer.ts
@@ -1,4 +1,5 @@
-import http from "node:http";
+import type http from "node:http";
+import { type ReportLimit, createPlainServer } from "../memory/index.js";
 import { listenOn } from "../utils/http.js";
 import type { MetricsSource } from "./MetricsSource.js";
 
@@ -18,14 +19,20 @@
  * @param health - Readiness of the process.
  * @param port - Port to listen on.
  * @param address - IP address to listen on.
+ * @param report - Called when a client reaches a limit.
  */
 export async function startMetricsServer(
     metrics: MetricsSource,
     health: Health,
     port: number,
     address: string,
+    report?: ReportLimit,
 ): Promise<http.Server> {
-    const server = http.createServer((request, response) => {
+    const server = createPlainServer({ handle, report });
+    await listenOn(server, port, address);
+    return server;
+
+    function handle(request: http.IncomingMessage, response: http.ServerResponse): void {
         if (request.url === "/metrics") {
             void answerScrape(metrics, response);
         } else if (request.url === "/healthz") {
@@ -36,9 +43,7 @@
         } else {
             response.writeHead(STATUS_NOT_FOUND).end();
         }
-    });
-    await listenOn(server, port, address);
-    return server;
+    }
 }
 
 async function answerScrape(metrics: MetricsSource, response: http.ServerResponse): Promise<void> {
