Streams are read on for slow callers into a bounded buffer

Cause: the router paused an endpoint's stream as soon as its caller was 16 KiB behind, and an endpoint cuts a response that stays unread for some seconds.

--- a/src/direct/relay/StreamRelay.ts
+++ b/src/direct/relay/StreamRelay.ts
@@ -6,6 +6,7 @@
 import type { EndpointResponse } from "../EndpointCall.js";
 import { type EventSplitter, createEventSplitter } from "../EventSplitter.js";
 import { ResponseRelay, RelayResult } from "./ResponseRelay.js";
+import { createCallerWriter } from "./CallerWriter.js";
 import { createBufferedRelay } from "./BufferedRelay.js";
 
 const STATUS_NO_CONTENT = 204;
@@ -38,6 +39,7 @@
 ): ResponseRelay {
     const { response } = exchange;
     const bufferedRelay = createBufferedRelay(exchange);
+    const writer = createCallerWriter(response, exchange.memory);
     let lastEventId: string | undefined;
     let lastForwardedAt: number | undefined;
 
@@ -65,14 +67,14 @@
     async function relayEvents(endpointResponse: EndpointResponse): Promise<RelayResult> {
         const { message: upstream } = endpointResponse;
         const resume = (): void => void upstream.resume();
-        response.on("drain", resume);
+        writer.setOnDrained(resume);
         try {
             return await forwardEvents(endpointResponse);
         } catch (error) {
             upstream.destroy();
             throw error;
         } finally {
-            response.removeListener("drain", resume);
+            writer.setOnDrained(undefined);
         }
     }
 
@@ -109,7 +111,7 @@
                     hasEvents = true;
                     listener.onFirstEvent();
                 }
-                if (!response.write(events.bytes)) {
+                if (!writer.write(events.bytes)) {
                     upstream.pause();
                 }
             }
@@ -150,6 +152,6 @@
 
     function endStream(upstream: http.IncomingMessage, status: number, splitter: EventSplitter): void {
         sendHead(upstream, status);
-        response.end(splitter.getRemainder());
+        writer.end(splitter.getRemainder());
     }
 }
