--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -115,10 +115,8 @@
         getCallerBytes: () => memory.getHeldBytes(),
         countCallerConnections: () => memory.countConnections(),
     });
-    const memory = createCallerMemory(
-        resolveCallerLimits(settings.callerLimits, settings.resources),
-        createLimitReport(logger, metrics.recordCallerLimit),
-    );
+    const reportLimit = createLimitReport(logger, metrics.recordCallerLimit);
+    const memory = createCallerMemory(resolveCallerLimits(settings.callerLimits, settings.resources), reportLimit);
     if (context.outageGate !== undefined) {
         addOutageGauges(metrics.set, context.outageGate);
     }
@@ -130,6 +128,7 @@
         callers,
         metrics: metrics.set,
         control: buildDirectControl(knowledge),
+        reportLimit,
         isServing: () => !isDraining && getServedIndex() !== undefined && context.directory.countRecords() > 0,
     });
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
--- a/tests/direct/evacuation/queueTests.ts
+++ b/tests/direct/evacuation/queueTests.ts
@@ -19,6 +19,7 @@
     const admission = createRequestAdmission({
         directory: createUsableEndpoints(listed, evacuations),
         load,
+        cold: { estimateTurns: () => 0, hasCold: () => false },
         pace: { recordPause: () => undefined, getAllowedShare: () => 1 },
         limiter: createSharedRateLimiter({ getReportDelayMs: () => 0, getShare: () => 1, drawRandom: () => 0 }),
         candidates: createEndpointCandidates(listed, [createEvacuationRule(evacuations)]),
