--- a/src/direct/admission/CostAdmission.ts
+++ b/src/direct/admission/CostAdmission.ts
@@ -71,7 +71,6 @@
     valuer: RequestValuer;
     longestTargetMs: number;
     isPolled: boolean;
-    admissions: number;
     isShort: boolean;
     isAlone: boolean;
 }
@@ -89,8 +88,6 @@
 const NONE_TRIED: ReadonlySet<string> = new Set();
 /** Interval at which waiting requests try to use a free slot, in milliseconds. */
 const POLL_INTERVAL_MS = 25;
-/** One in this many admissions goes to the oldest request, so that none is passed over until its wait ends. */
-const ADMISSIONS_PER_OLDEST = 5;
 /** Share of the slots in use below which no request is refused by the level; refusing below one half is a fault. */
 const MIN_USED_SHARE = 0.7;
 /** Levels from and up to which a shortage is logged as begun and as ended. */
@@ -236,8 +233,7 @@
     /** Admits the next request, to one endpoint if given; returns whether one was admitted. */
     function admitNext(service: string, queue: ServiceQueue, endpoint: string | undefined): boolean {
         const now = readMonotonicMs();
-        const isOldestNext = (queue.admissions + 1) % ADMISSIONS_PER_OLDEST === 0;
-        const next = isOldestNext ? queue.waiting[0] : chooseNextRequest(queue.waiting, now);
+        const next = chooseNextRequest(queue.waiting, now);
         if (next === undefined) {
             return false;
         }
@@ -247,7 +243,6 @@
         if (open.length === 0 && free.hasCandidates) {
             return false;
         }
-        queue.admissions++;
         levels.recordAdmission(service, now);
         onDecision(service, AdmissionDecision.Delayed);
         next.finish(open);
@@ -317,7 +312,6 @@
             valuer: createRequestValuer(drawRandom),
             longestTargetMs: 0,
             isPolled: false,
-            admissions: 0,
             isShort: false,
             isAlone: false,
         };
