--- a/src/scheduling/AdmissionLevels.ts
+++ b/src/scheduling/AdmissionLevels.ts
@@ -95,7 +95,7 @@
         sumDemand,
         hasNews: (service, now) => listOthers(service, now, true).length > 0,
         listReports,
-        setReports: (source, isZone, reports, now) => void received.set(source, { reports, isZone, receivedAt: now }),
+        setReports,
     };
 
     function recordAdmission(service: string, now: number): void {
@@ -104,6 +104,16 @@
         own.perSecond += 1_000 / RATE_WINDOW_MS;
     }
 
+    function setReports(source: string, isZone: boolean, reports: Record<string, LevelReport>, now: number): void {
+        const bounded = Object.fromEntries(Object.entries(reports).slice(0, MAX_REPORTS));
+        received.set(source, { reports: bounded, isZone, receivedAt: now });
+        for (const [other, { receivedAt }] of received) {
+            if (now - receivedAt > REPORT_EXPIRY_MS) {
+                received.delete(other);
+            }
+        }
+    }
+
     function updateLevel(service: string, state: QueueState, now: number): number {
         const own = getOwn(service, now);
         own.waiting = state.waiting;
@@ -150,7 +160,8 @@
         const entries = [...levels].slice(0, MAX_REPORTS).map(([service, own]): [string, LevelReport] => {
             decayRate(own, now);
             const report: LevelReport = [own.level, own.waiting, own.perSecond, 1];
-            return [service, isZone ? listOthers(service, now, false).reduce(mergeReports, report) : report];
+            const merged = isZone ? listOthers(service, now, false).reduce(mergeReports, report) : report;
+            return [service, roundReport(merged)];
         });
         return Object.fromEntries(entries);
     }
@@ -176,6 +187,11 @@
     own.countedAt = now;
 }
 
+/** Rounds to what the datagram needs. */
+function roundReport([level, waiting, perSecond, routers]: LevelReport): LevelReport {
+    return [Math.round(level * 1_000) / 1_000, waiting, Math.round(perSecond * 10) / 10, routers];
+}
+
 function mergeReports(left: LevelReport, right: LevelReport): LevelReport {
     const routers = left[3] + right[3];
     const level = routers === 0 ? left[0] : (left[0] * left[3] + right[0] * right[3]) / routers;
--- a/src/scheduling/RequestValue.ts
+++ b/src/scheduling/RequestValue.ts
@@ -27,9 +27,9 @@
 const WORTH_PER_URGENCY = 2;
 /**
  * Share of the requests whose work counts as that of any request of their kind if that is less. They are served as often as
- * the kind, so that the largest are served at least half as often.
+ * the kind, so that the largest are served at least half as often. All that returned are among them.
  */
-const SIZE_BLIND_SHARE = 0.75;
+const SIZE_BLIND_SHARE = 0.7;
 /**
  * Share of the requests that count as of the most urgent kind. They are served as often as that one, so that each kind is
  * served at least a quarter as often.
@@ -51,7 +51,7 @@
     function computeValue({ urgency, workMs, isReturned }: ValuedRequest): RequestValue {
         const work = getWorks(urgency);
         const isUrgencyBlind = drawRandom() < URGENCY_BLIND_SHARE;
-        const isSizeBlind = drawRandom() < SIZE_BLIND_SHARE;
+        const isSizeBlind = isReturned || drawRandom() < SIZE_BLIND_SHARE;
         const sampleMs = isSizeBlind ? (work.estimateWork(drawRandom()) ?? workMs) : workMs;
         const rank = isUrgencyBlind ? 0 : urgencies.indexOf(urgency);
         const cost = Math.min(workMs, sampleMs) * WORTH_PER_URGENCY ** rank;
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -138,3 +138,28 @@
     t.equal(findSpeakers().size, 1);
     t.notOk(findSpeakers().has(speaker ?? ""));
 });
+
+t.test("a message of an earlier version, or whose admission levels can't be read, is still taken in", async t => {
+    const [port = 0] = await findFreePorts(1);
+    const router = startGossip(t, "127.0.0.1", port, []);
+    const socket = dgram.createSocket("udp4");
+    await new Promise<void>(resolve => socket.bind(0, "127.0.0.9", resolve));
+    t.teardown(async () => void socket.close());
+    const earlier = {
+        host: "x",
+        zone: "a",
+        address: "127.0.0.9",
+        version: 3,
+        platformAgeMs: 0,
+        load: {},
+        suspects: [],
+    };
+    for (const admission of [undefined, { llm: [7, "many"] }, { llm: [0.5, 3, 10, 1] }]) {
+        socket.send(JSON.stringify({ ...earlier, routers: [], isLeaving: false, admission }), port, "127.0.0.1");
+    }
+    await waitFor(SETTLE_MS);
+    t.strictSame(
+        router.received.map(({ admission }) => admission),
+        [undefined, undefined, { llm: [0.5, 3, 10, 1] }],
+    );
+});
--- a/tests/scheduling/admissionPlayTests.ts
+++ b/tests/scheduling/admissionPlayTests.ts
@@ -1,10 +1,15 @@
 import t from "tap";
 import { ADMISSION_CASES, computeCallerShares, playCase } from "../../bench/scheduling/admissionBench.js";
 import { ADMISSION_POLICIES, BY_COST } from "../../bench/scheduling/admissionPolicies.js";
+import { CallerEnd, type PlayedEnd } from "../../bench/scheduling/admissionSimulation.js";
+import { type AdmissionLoad, KINDS } from "../../bench/scheduling/admissionWorkload.js";
 
+const LOAD = ADMISSION_CASES["steady at 2"] as Omit<AdmissionLoad, "seed">;
 const SEED = 3;
 /** Share by which two kinds that are served alike differ by chance in a play. */
 const CHANCE = 0.02;
+/** Least share of returned requests that is served, over that of new ones; without their own rule it is 0.83. */
+const RETURNED_SHARE = 0.88;
 const [NONE] = ADMISSION_POLICIES;
 
 for (const [name, load] of Object.entries(ADMISSION_CASES)) {
@@ -28,3 +33,50 @@
         t.end();
     });
 }
+
+t.test("requests wait in the order of the routers and not in the engines, as routers share the free slots", t => {
+    const load = ADMISSION_CASES["steady at 1.3"] ?? LOAD;
+    const shared = playCase(SEED, load, BY_COST);
+    const greedy = playCase(SEED, load, { ...BY_COST, drawsSlots: false });
+    const [wait, greedyWait] = [shared, greedy].map(({ engineWaitMs, sent }) => engineWaitMs / sent);
+    t.ok((wait ?? 0) < 0.25 * (greedyWait ?? 0), `${wait?.toFixed(0)} ms, ${greedyWait?.toFixed(0)} ms without`);
+    t.end();
+});
+
+t.test(
+    "returned requests, though they are late and mostly large, are served about as often as new ones of their kind",
+    t => {
+        for (const load of [ADMISSION_CASES["bursts at 0.95"] ?? LOAD, LOAD]) {
+            const { firstServed, returnedServed } = countFirstAttempts(playCase(SEED, load, BY_COST).ends);
+            KINDS.forEach(({ name }, kind) =>
+                t.ok(
+                    (returnedServed[kind] ?? 0) >= RETURNED_SHARE * (firstServed[kind] ?? 1),
+                    `${name}: ${returnedServed[kind]?.toFixed(3)}, new ones ${firstServed[kind]?.toFixed(3)}`,
+                ),
+            );
+        }
+        t.end();
+    },
+);
+
+t.test("routers that hear nothing of each other use their own view, and starve none", t => {
+    const { ends, refusedWhileIdle } = playCase(SEED, LOAD, BY_COST, 0);
+    const { kinds, large, next, refused } = computeCallerShares(ends);
+    t.ok(Math.min(...kinds) >= 0.25 * (1 - refused) && Math.min(large, next) >= 0.5);
+    const without = computeCallerShares(playCase(SEED, LOAD, NONE ?? BY_COST, 0).ends);
+    t.ok(refused <= without.refused + CHANCE, `${refused.toFixed(3)}, ${without.refused.toFixed(3)} without`);
+    t.equal(refusedWhileIdle, 0);
+    t.end();
+});
+
+/** Shares of first attempts and of second ones that were served, by kind. */
+function countFirstAttempts(ends: readonly PlayedEnd[]): { firstServed: number[]; returnedServed: number[] } {
+    const shares = KINDS.map((unused, kind) => {
+        const ofKind = ends.filter(({ request }) => request.kind === kind);
+        const returned = ofKind.filter(({ hasReturned }) => hasReturned);
+        const served = ofKind.filter(({ hasReturned, end }) => !hasReturned && end !== CallerEnd.Refused);
+        const servedReturned = returned.filter(({ end }) => end !== CallerEnd.Refused);
+        return { first: served.length / ofKind.length, returned: servedReturned.length / Math.max(1, returned.length) };
+    });
+    return { firstServed: shares.map(({ first }) => first), returnedServed: shares.map(({ returned }) => returned) };
+}
