--- a/bench/scheduling/outageSimulation.ts
+++ b/bench/scheduling/outageSimulation.ts
@@ -19,7 +19,7 @@
     name: string;
     /** Whether requests may wait at a router; otherwise all but probes are refused, as by earlier versions. */
     usesQueue: boolean;
-    plan?: OutageQueueOptions["plan"];
+    plan?: OutageQueueOptions<QueuedOutageRequest>["plan"];
 }
 
 /** Fleet, load and outages of a play. */
--- a/src/direct/ClusterView.ts
+++ b/src/direct/ClusterView.ts
@@ -212,7 +212,7 @@
             isZoneLoad: isToOtherZones,
             leaving: notices.listLeaving().filter(([id]) => directory.hasRecord(id)),
             pauses: pauses.listPauses(readMonotonicMs()),
-            outages: context.outageGate?.listReports() ?? [],
+            outages: context.outageGate?.listReports(),
             ...limiter.listReports(isToOtherZones, readMonotonicMs()),
             suspects: suspects.listSuspects(readMonotonicMs()),
             parts: quarantine.listReports(readMonotonicMs()),
@@ -240,7 +240,7 @@
             message.pauses.filter(([id]) => isKnown(id)),
             now,
         );
-        context.outageGate?.mergeReports(message.address, message.outages);
+        context.outageGate?.mergeReports(message.address, message.outages ?? []);
         suspects.mergeSuspects(message.suspects, now);
         quarantine.mergeReports(message.parts, now);
         fallback.handleMessage(message);
--- a/src/direct/outage/OutageGate.ts
+++ b/src/direct/outage/OutageGate.ts
@@ -67,12 +67,14 @@
     hearsOthers: () => boolean;
     announceNews: () => void;
     /** Compares requests at the end of an outage; the one that goes first is less. */
-    compare?: (left: OutageRequest, right: OutageRequest, firstByAt: number) => number;
+    compare?: (left: WaitingRequest, right: WaitingRequest, firstByAt: number) => number;
     drawRandom: () => number;
     logger: Logger;
 }
 
-interface WaitingRequest extends QueuedOutageRequest {
+/** A request that waits for the end of an outage. */
+export interface WaitingRequest extends QueuedOutageRequest {
+    exchange: RoutedExchange;
     finish: (action: OutageAction | undefined) => void;
 }
 
@@ -258,7 +260,7 @@
     finish: (action: OutageAction | undefined) => void,
 ): WaitingRequest {
     const sendsLeft = exchange.route.maxAttempts - state.sendCount;
-    return { request: buildOutageRequest(exchange, state), sendsLeft, finish };
+    return { request: buildOutageRequest(exchange, state), exchange, sendsLeft, finish };
 }
 
 /** A stream that has begun is late already, as the pause exceeds what callers accept. */
--- a/src/peers/PeerGossip.ts
+++ b/src/peers/PeerGossip.ts
@@ -40,8 +40,8 @@
     leaving: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Endpoints that turn the sender's requests away, with the rest of the pause that they want, in milliseconds. */
     pauses: z.array(z.tuple([z.string(), z.number()])).default([]),
-    /** Outages of services: time since they began, and time since they ended (-1 while they last), in milliseconds. */
-    outages: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
+    /** Outages of services: time since they began, and time since they ended (-1 while they last), in milliseconds; absent from a router that doesn't hold requests. */
+    outages: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
     /** Attempts per second to find an endpoint of a service with such limits. */
     attempts: z.record(z.string(), z.number()).default({}),
     /** Sample of the addresses of routers that the sender has received messages from; it rotates between messages. */
--- a/src/scheduling/OutageHistory.ts
+++ b/src/scheduling/OutageHistory.ts
@@ -311,6 +311,10 @@
     }
 
     function mergeReport(peer: string, [service, beganAgoMs, endedAgoMs]: OutageReport, now: number): void {
+        if (beganAgoMs < 0 || endedAgoMs > beganAgoMs) {
+            // Times in the wrong order tell nothing; the other fields of the message are used.
+            return;
+        }
         const state = getState(service);
         const beganAt = now - beganAgoMs;
         if (endedAgoMs < 0) {
--- a/src/scheduling/OutageQueue.ts
+++ b/src/scheduling/OutageQueue.ts
@@ -45,7 +45,7 @@
 }
 
 /** Options of the queue. */
-export interface OutageQueueOptions {
+export interface OutageQueueOptions<Entry extends QueuedOutageRequest> {
     service: string;
     history: Pick<OutageHistory, "getBegan" | "getEnded" | "listDurations" | "isStalled">;
     /** Counts the slots of the candidates that are not in use, as far as known. */
@@ -58,7 +58,7 @@
     /** Gets the expected durations of a stream, in milliseconds. */
     getDurations: () => Pick<OutageOutlook, "firstEventMs" | "runMs">;
     /** Compares requests; the one that goes first is less. By default those that came back or can be in time go first. */
-    compare?: (left: OutageRequest, right: OutageRequest, firstByAt: number) => number;
+    compare?: (left: Entry, right: Entry, firstByAt: number) => number;
     /** Plans what to do with a request during an outage; replaced to compare other plans. */
     plan?: typeof planOutageStep;
     maxWaiting: number;
@@ -94,9 +94,12 @@
  * Creates an empty queue.
  * @param options - Service, knowledge of its outages, and its free slots.
  */
-export function createOutageQueue<Entry extends QueuedOutageRequest>(options: OutageQueueOptions): OutageQueue<Entry> {
+export function createOutageQueue<Entry extends QueuedOutageRequest>(
+    options: OutageQueueOptions<Entry>,
+): OutageQueue<Entry> {
     const { service, history } = options;
-    const compare = options.compare ?? compareAfterOutage;
+    const compare =
+        options.compare ?? ((left, right, firstByAt) => compareAfterOutage(left.request, right.request, firstByAt));
     const plan = options.plan ?? planOutageStep;
     const waiting = new Set<Entry>();
     let probedAt = Number.NEGATIVE_INFINITY;
@@ -198,7 +201,7 @@
 
     function takeAfterOutage(now: number): OutageDecision<Entry>[] {
         const { firstEventMs } = options.getDurations();
-        const order = [...waiting].sort((left, right) => compare(left.request, right.request, now + firstEventMs));
+        const order = [...waiting].sort((left, right) => compare(left, right, now + firstEventMs));
         const decisions: OutageDecision<Entry>[] = [];
         for (const entry of order) {
             if (canBeInTime(entry, now) || takeCredit(now)) {
--- a/tests/peers/peerGossipTests.ts
+++ b/tests/peers/peerGossipTests.ts
@@ -34,7 +34,6 @@
             platformUpMs: 0,
             storeEra: 0,
             pauses: [],
-            outages: [],
             endpointRevision: 0,
             endpointAgeMs: 0,
             endpointDigest: 0,
