--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -155,7 +155,13 @@
     const { listen, newsPort } = system.settings;
     const ports = [listen.callers, listen.readiness, listen.control, listen.metrics].map(place => place?.port ?? 0);
     const seeds = [{ address: system.address, port: listen.control.port }];
-    const settings: DirectSettings = { ...buildSettings(address, [...ports, newsPort]), host: "r2", seeds };
+    const { outageReturn } = system.settings;
+    const settings: DirectSettings = {
+        ...buildSettings(address, [...ports, newsPort]),
+        host: "r2",
+        seeds,
+        outageReturn,
+    };
     settings.listen.control.address = controlAddress;
     const platform = { service, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
     const router = await startDirectRouter(settings, platform, logger);
--- a/tests/direct/outage/outageGateTests.ts
+++ b/tests/direct/outage/outageGateTests.ts
@@ -4,7 +4,7 @@
 import type { EndpointScript } from "../../../standins/endpoint/endpointStandin.js";
 import { writeKey } from "../../../standins/platform/writeKey.js";
 import type { OwningTest } from "../../fixtures.js";
-import { type CallerAnswer, type DirectSystem, callRouter, startDirectSystem } from "../fixtures.js";
+import { type CallerAnswer, type DirectSystem, callRouter, startDirectSystem, startSecondRouter } from "../fixtures.js";
 
 /** Enough slots for some requests to be asked to come back, of which the router takes an eighth for its own. */
 const ENDPOINTS = 24;
@@ -77,6 +77,9 @@
     const [ended] = listEvents(system, "OutageEnded");
     t.match(ended, { service: "app", source: "own" });
     t.equal(listEvents(system, "OutageBegan").length, 1);
+    const metrics = await (await fetch(`http://127.0.0.1:${system.metricsPort}/metrics`)).text();
+    t.match(metrics, /^auburnpass_outages 1$/m);
+    t.match(metrics, /^auburnpass_outage_waiting 0$/m);
 });
 
 t.test("without the setting, streams in an outage are refused at once, as by earlier versions", async t => {
@@ -160,3 +163,16 @@
     const answers = await Promise.all([...running, late]);
     t.ok(answers.every(({ status, isWhole }) => status === 200 && isWhole));
 });
+
+t.test("a router learns from another one that an outage has ended, and how long it took", async t => {
+    const system = await startGroupSystem(t);
+    const second = await startSecondRouter(t, system, "127.0.0.2", system.store);
+    await waitFor(SETTLE_MS);
+    await Promise.all([beginOutage(system), beginOutage(second)]);
+    setScripts(system, streamScript);
+    await callStream(system, "first-after");
+    await waitFor(SETTLE_MS);
+    t.match(listEvents(system, "OutageEnded"), [{ source: "own" }]);
+    t.match(listEvents(second, "OutageEnded"), [{ source: "peer" }]);
+    t.equal((await callStream(second, "second-after")).status, 200);
+});
