--- a/tests/direct/fixtures.ts
+++ b/tests/direct/fixtures.ts
@@ -157,9 +157,9 @@
     const { listen, newsPort } = system.settings;
     const ports = [listen.callers, listen.readiness, listen.control, listen.metrics].map(place => place?.port ?? 0);
     const seeds = [{ address: system.address, port: listen.control.port }];
-    const { cold } = system.settings;
+    const { cold, outageReturn } = system.settings;
     const usual = buildSettings(address, [...ports, newsPort]);
-    const settings: DirectSettings = { ...usual, host: "r2", seeds, cold, ...change };
+    const settings: DirectSettings = { ...usual, host: "r2", seeds, cold, outageReturn, ...change };
     settings.listen.control.address = controlAddress;
     const platform = { service, codec: createPlatformCodec(logger), names: WIRE_HEADERS };
     const router = await startDirectRouter(settings, platform, logger);
