Waiting requests are planned again as the outage goes on

Requests held on a suspicion waited up to their callers' gap in outages known to be long, and were then refused for good.

--- a/src/scheduling/OutageQueue.ts
+++ b/src/scheduling/OutageQueue.ts
@@ -73,6 +73,8 @@
 /** Bounds of the time between the probes of one router, in milliseconds. */
 const MIN_PROBE_INTERVAL_MS = 200;
 const MAX_PROBE_INTERVAL_MS = 1_000;
+/** Interval at which waiting requests are planned again, as the outage goes on or is confirmed, in milliseconds. */
+const PLAN_INTERVAL_MS = 250;
 /** Time before the end of its wait in which a request may be a probe with its last send, in milliseconds. */
 const LAST_PROBE_MS = 250;
 /**
@@ -103,6 +105,7 @@
     const plan = options.plan ?? planOutageStep;
     const waiting = new Set<Entry>();
     let probedAt = Number.NEGATIVE_INFINITY;
+    let plannedAt = Number.NEGATIVE_INFINITY;
     let lastStartAt = Number.POSITIVE_INFINITY;
     /** Times at which requests that were refused with a delay come back. */
     let returnTimes: number[] = [];
@@ -172,8 +175,11 @@
 
     function takeInOutage(beganAt: number, now: number): OutageDecision<Entry>[] {
         const decisions: OutageDecision<Entry>[] = [];
+        const isPlanDue = now - plannedAt >= PLAN_INTERVAL_MS && !history.isStalled(service);
+        plannedAt = isPlanDue ? now : plannedAt;
         for (const entry of waiting) {
-            if (computeWaitEnd(entry) <= now) {
+            const isHopeless = isPlanDue && !plan(entry.request, buildOutlook(beganAt, now)).isWaiting;
+            if (isHopeless || computeWaitEnd(entry) <= now) {
                 const action = isProbeDue(now) ? startProbe(now) : refuse(entry, beganAt, now);
                 decisions.push({ entry, action });
             }
--- a/tests/scheduling/outageReturnTests.ts
+++ b/tests/scheduling/outageReturnTests.ts
@@ -47,14 +47,20 @@
 
 /** Creates a queue for a service that has been out since a time. */
 function startQueue(maxWaiting = 100) {
-    const state = { beganAt: 0 as number | undefined, endedAt: undefined as number | undefined, freeSlots: 40 };
+    const state = {
+        beganAt: 0 as number | undefined,
+        endedAt: undefined as number | undefined,
+        durations: [1_000],
+        isStalled: false,
+        freeSlots: 40,
+    };
     const queue = createOutageQueue<QueuedOutageRequest>({
         service: SERVICE,
         history: {
             getBegan: () => state.beganAt,
             getEnded: () => state.endedAt,
-            listDurations: () => [1_000],
-            isStalled: () => false,
+            listDurations: () => state.durations,
+            isStalled: () => state.isStalled,
         },
         countFreeSlots: () => state.freeSlots,
         countSlots: () => 40,
@@ -125,6 +131,19 @@
     t.end();
 });
 
+t.test("a suspicion refuses nobody, and requests that can't be served are refused once it is confirmed", t => {
+    const { queue, state } = startQueue();
+    state.isStalled = true;
+    state.durations = [6_000, 6_000, 6_000];
+    const entry = { request: buildRequest(), sendsLeft: 2 };
+    t.equal(queue.offerRequest(entry, 400), undefined);
+    t.equal(queue.takeDecisions(1_400).length, 0);
+    state.isStalled = false;
+    queue.takeDecisions(1_500);
+    t.equal(queue.countWaiting(), 0, "not held until its caller would leave");
+    t.end();
+});
+
 t.test("no more requests wait than the bound, and all have an answer by the time of a planned stop", t => {
     const { queue } = startQueue(5);
     const entries = buildList(8, () => ({ request: buildRequest(), sendsLeft: 2 }));
