--- a/src/direct/admission/CostAdmission.ts
+++ b/src/direct/admission/CostAdmission.ts
@@ -294,7 +294,7 @@
 
     /** Logs when a router that limits admission begins or ends to rely on its own view. */
     function logNews(service: string, queue: ServiceQueue, level: number, now: number): void {
-        const isAlone = level > 0 && options.hasPeers() && !levels.hasNews(service, now);
+        const isAlone = level >= SHORTAGE_BEGIN && options.hasPeers() && !levels.hasNews(service, now);
         if (isAlone !== queue.isAlone) {
             queue.isAlone = isAlone;
             const event = isAlone ? EventId.AdmissionNewsMissing : EventId.AdmissionNewsRestored;
--- a/src/scheduling/AdmissionLevels.ts
+++ b/src/scheduling/AdmissionLevels.ts
@@ -40,7 +40,7 @@
     /** Tells whether the last update had a report of another router. */
     hasNews(service: string, now: number): boolean;
     /**
-     * Lists the reports to send.
+     * Lists the reports to send, of the services in use.
      * @param isZone - Whether to add up the reports of the routers of the zone.
      */
     listReports(isZone: boolean, now: number): Record<string, LevelReport>;
@@ -64,6 +64,8 @@
 const RATE_WINDOW_MS = 1_000;
 /** Age after which the report of another router no longer counts, in milliseconds. */
 const REPORT_EXPIRY_MS = 1_500;
+/** Admissions per second from which a service is reported that has no level and no waiting requests. */
+const MIN_REPORTED_RATE = 0.1;
 /** Maximum number of services in a message. */
 const MAX_REPORTS = 64;
 /** Longest time that one update accounts for, in milliseconds; more than that is like a new start. */
@@ -157,7 +159,8 @@
     }
 
     function listReports(isZone: boolean, now: number): Record<string, LevelReport> {
-        const entries = [...levels].slice(0, MAX_REPORTS).map(([service, own]): [string, LevelReport] => {
+        const inUse = [...levels].filter(([, own]) => isInUse(own, now));
+        const entries = inUse.slice(0, MAX_REPORTS).map(([service, own]): [string, LevelReport] => {
             decayRate(own, now);
             const report: LevelReport = [own.level, own.waiting, own.perSecond, 1];
             const merged = isZone ? listOthers(service, now, false).reduce(mergeReports, report) : report;
@@ -182,6 +185,11 @@
     return waiting === 0 ? 0 : (waiting * 1_000) / Math.max(Number.MIN_VALUE, perSecond);
 }
 
+function isInUse(own: ServiceLevel, now: number): boolean {
+    decayRate(own, now);
+    return own.level > 0 || own.waiting > 0 || own.perSecond >= MIN_REPORTED_RATE;
+}
+
 function decayRate(own: ServiceLevel, now: number): void {
     own.perSecond *= Math.exp(-(now - own.countedAt) / RATE_WINDOW_MS);
     own.countedAt = now;
