--- a/src/memory/readCallerBody.ts
+++ b/src/memory/readCallerBody.ts
@@ -87,6 +87,8 @@
             if (!isSettled) {
                 settle();
                 request.pause();
+                // The parser goes on with the bytes of its last read, and each tiny chunk would be kept as an object.
+                Object.assign(request, { push: () => true });
                 memory.refuseRest();
                 body.clear();
                 reject(error);
