A body of very small chunks is served while few of its kind arrive

Cause: the bound on the chunks of a body refused a body inside the limits of the configuration, which name no size of chunks.

--- a/src/memory/CallerLimits.ts
+++ b/src/memory/CallerLimits.ts
@@ -11,6 +11,8 @@
     freeChunks: z.number().int().min(1).optional(),
     /** Bytes that each further chunk must have on the mean. */
     bytesPerChunk: z.number().min(0).optional(),
+    /** Bodies with more chunks than that which may arrive at the same time. */
+    fragmentedBodies: z.number().int().min(1).optional(),
     /** Requests in progress on one connection. */
     pipelined: z.number().int().min(1).optional(),
     /** Connections of callers. */
@@ -28,6 +30,7 @@
     bodyMs: number;
     freeChunks: number;
     bytesPerChunk: number;
+    fragmentedBodies: number;
     pipelined: number;
     connections: number;
     streamBytes: number;
@@ -70,6 +73,11 @@
 const DEFAULT_FREE_CHUNKS = 4_096;
 /** Fewer bytes a chunk cost more processor time for the chunks than for the bytes. */
 const DEFAULT_BYTES_PER_CHUNK = 64;
+/**
+ * One read of such a body is up to 11,000 chunks, some ten milliseconds of work in one turn of the event loop. With two of them,
+ * other requests are still answered; a single one is always served.
+ */
+const DEFAULT_FRAGMENTED_BODIES = 2;
 /** Clients that pipeline at all keep a few requests in progress. */
 const DEFAULT_PIPELINED = 128;
 /** Descriptors for the store, peers and logs (64), and for the connections of the other ports (64, 64 and 128). */
@@ -96,6 +104,7 @@
         bodyMs: settings.bodyMs ?? DEFAULT_BODY_MS,
         freeChunks: settings.freeChunks ?? DEFAULT_FREE_CHUNKS,
         bytesPerChunk: settings.bytesPerChunk ?? DEFAULT_BYTES_PER_CHUNK,
+        fragmentedBodies: settings.fragmentedBodies ?? DEFAULT_FRAGMENTED_BODIES,
         pipelined: settings.pipelined ?? DEFAULT_PIPELINED,
         connections: settings.connections ?? computeConnections(resources.maxFds),
         streamBytes: settings.streamBytes ?? DEFAULT_STREAM_BYTES,
--- a/src/memory/CallerMemory.ts
+++ b/src/memory/CallerMemory.ts
@@ -23,6 +23,9 @@
      * connection is closed, as the refusal could not be sent before that.
      */
     refuseRest(): void;
+    /** Starts to take in a body of very small chunks; returns false if as many as may be are taken in. */
+    beginFragmentedBody(): boolean;
+    endFragmentedBody(): void;
     /** Records that the request has reached a limit. */
     reportLimit(limit: CallerLimit): void;
 }
@@ -90,6 +93,8 @@
     /** In the order of their last request or answer. */
     const connections = new Map<Socket, ConnectionState>();
     let headBytes = 0;
+    /** Bodies of very small chunks that are arriving. */
+    let fragmentedBodies = 0;
     const account: MemoryAccount = createMemoryAccount({
         boundBytes: limits.heldBytes,
         getNow: readMonotonicMs,
@@ -231,6 +236,12 @@
                 },
                 recordProgress: () => connection?.hold.recordProgress(),
                 setBodyEviction: evict => (state.evictBody = evict),
+                beginFragmentedBody() {
+                    const isFree = fragmentedBodies < limits.fragmentedBodies;
+                    fragmentedBodies += isFree ? 1 : 0;
+                    return isFree;
+                },
+                endFragmentedBody: () => void fragmentedBodies--,
                 refuseRest() {
                     const [first] = connection?.requests ?? [];
                     socket.pause();
@@ -260,6 +271,8 @@
     release: () => undefined,
     recordProgress: () => undefined,
     setBodyEviction: () => undefined,
+    beginFragmentedBody: () => true,
+    endFragmentedBody: () => undefined,
     refuseRest: () => undefined,
     reportLimit: () => undefined,
 };
--- a/tests/direct/callerLimitsTests.ts
+++ b/tests/direct/callerLimitsTests.ts
@@ -1,4 +1,6 @@
+import { once } from "node:events";
 import type http from "node:http";
+import net from "node:net";
 import t, { type Test } from "tap";
 import type { EndpointScript } from "../../standins/endpoint/endpointStandin.js";
 import { waitFor } from "../../src/utils/time.js";
@@ -203,6 +205,25 @@
     });
 }
 
+t.test("a single body with one byte a chunk is served, as the limits name no size of chunks", async t => {
+    const router = await startRouterProcess(t, {
+        memoryMb: MEMORY_MB,
+        maxFds: MAX_FDS,
+        bodyBytes: BODY_BYTES,
+        script,
+    });
+    const bytes = 200_000;
+    const chunks = Buffer.concat([...Array<Buffer>(bytes).fill(buildChunk(1)), Buffer.from("0\r\n\r\n")]);
+    const socket = net.connect(router.ports.callers, router.address);
+    let answer = "";
+    socket.setEncoding("latin1").on("data", (text: string) => (answer += text));
+    socket.write(buildHead({ lines: [...CHUNKED, "Connection: close"] }));
+    socket.write(chunks);
+    await once(socket, "close");
+    t.match(answer, /^HTTP\/1\.1 200 /);
+    t.match(answer, `${bytes} bytes`);
+});
+
 t.test("a single request with the largest body is served", async t => {
     const router = await startRouterProcess(t, {
         memoryMb: MEMORY_MB,
