--- a/src/utils/closeAfterUnreadBody.ts
+++ b/src/utils/closeAfterUnreadBody.ts
@@ -10,5 +10,8 @@
     if (!request.complete && !response.headersSent) {
         response.setHeader("connection", "close");
         response.once("finish", () => request.socket.destroy());
+        // What the parser still delivers of the body would be kept, one object for each tiny chunk.
+        Object.assign(request, { push: () => true });
+        request.socket.pause();
     }
 }
