Test: returned requests are held to the stated bound again

Cause: the check had been lowered to 0.88 of the share of new requests, so that it showed nothing about the bound.

--- a/tests/scheduling/admissionPlayTests.ts
+++ b/tests/scheduling/admissionPlayTests.ts
@@ -8,8 +8,6 @@
 const SEED = 3;
 /** Share by which two kinds that are served alike differ by chance in a play. */
 const CHANCE = 0.02;
-/** Least share of returned requests that is served, over that of new ones; without their own rule it is 0.83. */
-const RETURNED_SHARE = 0.88;
 const [NONE] = ADMISSION_POLICIES;
 
 for (const [name, load] of Object.entries(ADMISSION_CASES)) {
@@ -44,13 +42,13 @@
 });
 
 t.test(
-    "returned requests, though they are late and mostly large, are served about as often as new ones of their kind",
+    "returned requests, though they are late and mostly large, are served at least as often as new ones of their kind",
     t => {
         for (const load of [ADMISSION_CASES["bursts at 0.95"] ?? LOAD, LOAD]) {
             const { firstServed, returnedServed } = countFirstAttempts(playCase(SEED, load, BY_COST).ends);
             KINDS.forEach(({ name }, kind) =>
                 t.ok(
-                    (returnedServed[kind] ?? 0) >= RETURNED_SHARE * (firstServed[kind] ?? 1),
+                    (returnedServed[kind] ?? 0) >= (firstServed[kind] ?? 1),
                     `${name}: ${returnedServed[kind]?.toFixed(3)}, new ones ${firstServed[kind]?.toFixed(3)}`,
                 ),
             );
