Endpoint memory: exclude engines without room for a request

An engine crashes when its requests hold more tokens than its memory. Nothing compared Token-Counts with EngineCostModel.memoryTokens, so that routers could send an engine more than it holds.

Each router counts the tokens of its own requests in progress at each endpoint and estimates those of other routers by the mean size of its own requests, weighted by duration. MemoryFull excludes an endpoint without room; the room is taken in sendToEndpoint and given back at every end of a send. TooLarge, a lasting rule, refuses a request that fits no engine with 503, exceeds-memory and no delay. In the admission's queue, requests that find an endpoint go before those that wait for memory.

--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -11,6 +11,7 @@
 import type { ColdEndpoints } from "./cold/index.js";
 import type { TokenCounts } from "./DirectCodec.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
+import type { EndpointMemory } from "./endpointMemory/index.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { EndpointNotices } from "./EndpointNotices.js";
 import type { EndpointPauses } from "./EndpointPauses.js";
@@ -39,6 +40,8 @@
     pauses: EndpointPauses;
     /** Endpoints that stand few requests after their start. */
     cold: ColdEndpoints;
+    /** Memory of the engines, as far as requests tell their tokens. */
+    endpointMemory: EndpointMemory;
     limiter: SharedRateLimiter;
     retries: SharedRetryBudget;
     suspects: SuspectTable;
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -16,7 +16,7 @@
     recordDecision(service: string, decision: AdmissionDecision): void;
     /** Counts a call to the platform's store. */
     recordStoreCall(operation: string, result: CallResult): void;
-    /** Counts a request that was held back at the moment of its send, as the endpoint is cold. */
+    /** Counts a request that was held back at the moment of its send, as the endpoint is cold or its memory full. */
     recordHeldBack(service: string): void;
     /** Counts a caller that has reached a limit. */
     recordCallerLimit(limit: string): void;
@@ -41,6 +41,8 @@
     countLimited(): number;
     /** Counts the endpoints that stand few requests after their start. */
     countCold(): number;
+    /** Counts the endpoints that hold requests of this router whose tokens are known. */
+    countMemoryInUse(): number;
     countEvacuatedZones(): number;
     /** Time since the store confirmed the evacuated zones to this router or a peer, in milliseconds; 0 without evacuations. */
     getEvacuationAgeMs(): number;
@@ -89,7 +91,7 @@
         "result",
     ]);
     const heldBack = set.addCounter(
-        { name: "auburnpass_sends_held_back_total", help: "Sends that waited because the endpoint is cold" },
+        { name: "auburnpass_sends_held_back_total", help: "Sends that waited because the endpoint is cold or full" },
         ["service"],
     );
     const decisions = set.addCounter(
@@ -152,6 +154,10 @@
     set.addGauge({ name: "auburnpass_cold_endpoints", help: "Endpoints that are cold after their start" }, () =>
         state.countCold(),
     );
+    set.addGauge(
+        { name: "auburnpass_memory_endpoints", help: "Endpoints that hold requests of this router with known tokens" },
+        () => state.countMemoryInUse(),
+    );
     set.addGauge(
         { name: "auburnpass_store_age_seconds", help: "Time since the store last confirmed the endpoints" },
         () => state.getStoreAgeMs() / MS_PER_SECOND,
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -66,6 +66,8 @@
 const LOAD_POLL_INTERVAL_MS = 25;
 /** One in this many admissions goes to the oldest request, so that the least urgent ones are not starved. */
 const ADMISSIONS_PER_OLDEST = 5;
+/** Maximum number of queued requests that are considered for a turn, which bounds the time that it takes. */
+const MAX_CONSIDERED = 8;
 /** Chance of a turn in time below which a request is refused at once instead of waiting in vain. */
 const MIN_TURN_CHANCE = 0.1;
 /** Smoothing factor of the average time to the first event. */
@@ -202,7 +204,7 @@
         finishHopeless(service);
         const hasFreeSlot = hasCapacity(service);
         const queued = (queues.get(service) ?? []).filter(({ needsFreeSlot }) => hasFreeSlot || !needsFreeSlot);
-        const next = queued.length === 0 ? undefined : chooseNext(queued);
+        const next = queued.length === 0 ? undefined : chooseNext(service, queued);
         if (next === undefined) {
             return;
         }
@@ -225,14 +227,20 @@
             .forEach(({ finish }) => finish([]));
     }
 
-    function chooseNext(queued: readonly QueuedRequest[]): QueuedRequest | undefined {
+    /** A request that finds no endpoint, as it waits for memory, doesn't hold up those behind it that find one. */
+    function chooseNext(service: string, queued: readonly QueuedRequest[]): QueuedRequest | undefined {
         admissions++;
         const isOldestNext = admissions % ADMISSIONS_PER_OLDEST === 0;
         const order = (left: QueuedRequest, right: QueuedRequest): number =>
             isOldestNext
                 ? left.queuedAt - right.queuedAt
                 : left.urgency - right.urgency || left.queuedAt - right.queuedAt;
-        return [...queued].sort(order)[0];
+        const now = readMonotonicMs();
+        const first = [...queued].sort(order).slice(0, MAX_CONSIDERED);
+        return (
+            first.find(({ exchange, tried }) => listUntried(service, exchange.demand, tried, now).length > 0) ??
+            first[0]
+        );
     }
 
     function recordRequestEnd(service: string, endpoint: string): void {
--- a/src/direct/RetryState.ts
+++ b/src/direct/RetryState.ts
@@ -5,7 +5,7 @@
     Answered = "answered",
     /** No connection was made, so nothing was sent. */
     Unreachable = "unreachable",
-    /** Nothing was sent, as the endpoint is cold and this router's share of what it stands is used up. */
+    /** Nothing was sent, as the endpoint is cold and its rate is used up, or its memory is full. */
     HeldBack = "held-back",
     /** The endpoint stated that it did not run the request. */
     NotRun = "not-run",
--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -113,8 +113,9 @@
 }
 
 /**
- * Names what excludes the endpoints if it lasts longer than a request: an evacuation, or the homes of the route and team. Its end
- * isn't known, so the caller is asked for the longest delay that it honours.
+ * Names what excludes the endpoints if it lasts longer than a request: the size of the request, an evacuation, or the homes of
+ * the route and team. A request that never fits gets no delay. The end of the others isn't known, so the caller is asked for
+ * the longest delay that it honours.
  */
 function createExclusionRefusal(
     state: RetryState,
@@ -124,6 +125,14 @@
     const untried = assessed.filter(({ endpoint }) => !state.triedEndpoints.has(endpoint.id));
     const delayMs = computeRetryDelay(exchange, Number.POSITIVE_INFINITY);
     const isOutside = ({ reasons }: AssessedEndpoint): boolean => reasons.includes(ExclusionReason.OutsideHomes);
+    if (assessed.length > 0 && assessed.every(({ reasons }) => reasons.includes(ExclusionReason.TooLarge))) {
+        return createRefusal(
+            state,
+            Cause.ExceedsMemory,
+            "the tokens of the request exceed each endpoint's memory",
+            undefined,
+        );
+    }
     if (assessed.length > 0 && assessed.every(isOutside)) {
         return createRefusal(state, Cause.OutsideHomes, "no endpoint is in the homes of the request", delayMs);
     }
@@ -154,13 +163,18 @@
  */
 export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
     const now = readMonotonicMs();
-    if (context.candidates.listCandidates(exchange.service, exchange.demand, now).length === 0) {
+    const assessed = context.candidates.assessEndpoints(exchange.service, exchange.demand, now);
+    const isExcluded = assessed.every(({ reasons }) => reasons.length > 0);
+    const isMemoryFull =
+        isExcluded && assessed.some(({ reasons }) => reasons.length === 1 && reasons[0] === ExclusionReason.MemoryFull);
+    if (isExcluded && !isMemoryFull) {
         const coldDelayMs = computeRetryDelay(exchange, COLD_RETRY_DELAY_MS);
         return createRefusal(state, Cause.Overload, "all endpoints are cold and at their rate", coldDelayMs);
     }
     const longestMs = Math.max(RETRY_DELAY_MS, (exchange.deadlineAt - now) * RETRY_DELAY_FRACTION);
     const delayMs = exchange.admissionDelayMs ?? longestMs;
-    return createRefusal(state, Cause.Overload, "no endpoint had free capacity in time", delayMs || undefined);
+    const detail = isMemoryFull ? "no endpoint had free memory in time" : "no endpoint had free capacity in time";
+    return createRefusal(state, Cause.Overload, detail, delayMs || undefined);
 }
 
 /**
--- a/src/direct/candidates/ExclusionReason.ts
+++ b/src/direct/candidates/ExclusionReason.ts
@@ -12,4 +12,6 @@
     Cold = "cold",
     /** The requests that it holds leave no memory for this one. */
     MemoryFull = "memory-full",
+    /** The request exceeds its whole memory. */
+    TooLarge = "too-large",
 }
--- /dev/null
+++ b/src/direct/endpointMemory/index.ts
@@ -0,0 +1,3 @@
+export * from "./EndpointMemory.js";
+export * from "./UsualSizes.js";
+export * from "./memoryRules.js";
--- a/src/direct/sendToEndpoint.ts
+++ b/src/direct/sendToEndpoint.ts
@@ -34,8 +34,13 @@
 ): Promise<SendResult> {
     const sentAt = readMonotonicMs();
     // Several requests may have chosen the endpoint in one turn of the event loop, so its room is taken only here.
+    const room = context.endpointMemory.takeRoom(endpoint, exchange.demand.tokens, sentAt);
+    if (room === undefined) {
+        return SendResult.HeldBack;
+    }
     const ticket = context.cold.takeSend(endpoint, sentAt);
     if (ticket === undefined) {
+        room.release(sentAt);
         return SendResult.HeldBack;
     }
     const knownAgeMs = Math.round(context.getEndpointAgeMs());
@@ -75,9 +80,10 @@
         result = `${end} ${call.response.status} ${describeFraming(call.response)}`;
         return end;
     } finally {
+        const now = readMonotonicMs();
         context.load.endRequest(endpoint.id);
+        room.release(now);
         context.admission.recordRequestEnd(exchange.service, endpoint.id);
-        const now = readMonotonicMs();
         ticket.end(now);
         recordFirstEventTime(exchange, context, sentAt);
         exchange.attempts.push({
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -31,6 +31,7 @@
     createUsableEndpoints,
 } from "./evacuation/index.js";
 import { createEndpointPauses } from "./EndpointPauses.js";
+import { createEndpointMemory, createMemoryRule, createSizeRule } from "./endpointMemory/index.js";
 import { createEndpointHealth } from "./EndpointHealth.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { HeaderNames } from "./HeaderNames.js";
@@ -38,7 +39,7 @@
 import { createLoadTracker } from "./LoadTracker.js";
 import { addOutageGauges, createOutageGate } from "./outage/index.js";
 import { createSharedRetryBudget } from "./SharedRetryBudget.js";
-import type { ColdBehavior } from "./RoutingDocument.js";
+import type { ColdBehavior, EngineCostModel } from "./RoutingDocument.js";
 import type { RouteIndex } from "./RouteIndex.js";
 import { createRouteIndexHolder } from "./RouteIndexHolder.js";
 import { createSettledLog } from "./SettledLog.js";
@@ -85,6 +86,7 @@
         logger.logEvent(EventId.DocumentApplied, { version, source, routes: routes.length, behindMs });
     });
     const context = createContext(settings, platform, logger, {
+        getEngine: service => holder.getIndex()?.findService(service)?.engine,
         getColdBehavior: service => holder.getIndex()?.findService(service)?.cold,
         recordHeldBack: service => metrics.recordHeldBack(service),
         listRouterAddresses: () => knowledge.listRouterAddresses(),
@@ -104,6 +106,7 @@
         countRefusedParts: () => context.quarantine.countRefused(),
         countLimited: () => context.limiter.countLimited(),
         countCold: () => context.cold.countCold(readMonotonicMs()),
+        countMemoryInUse: () => context.endpointMemory.countInUse(),
         countRouters: () => knowledge.getPeakRouterCount(),
         getStoreAgeMs: () => knowledge.getEndpointAgeMs(),
         getDocumentAgeMs: () => knowledge.getDocumentAgeMs(),
@@ -177,6 +180,8 @@
 > {
     /** Gets what the document says of a service's cold endpoints; undefined if they are never cold. */
     getColdBehavior(service: string): ColdBehavior | undefined;
+    /** Gets the engine of a service; undefined if the document names none. */
+    getEngine(service: string): EngineCostModel | undefined;
     /** Counts a request that was held back at the moment of its send. */
     recordHeldBack(service: string): void;
     /** Counts a decision of the admission by cost. */
@@ -212,6 +217,11 @@
         getStoreUptimeMs: knowledge.getStoreUptimeMs,
     });
     const load = createLoadTracker();
+    const endpointMemory = createEndpointMemory({
+        load,
+        getEngine: knowledge.getEngine,
+        onHeldBack: knowledge.recordHeldBack,
+    });
     const pace = createConcurrencyLimiter();
     const getRouterCount = (): number => Math.max(MIN_ASSUMED_ROUTERS, knowledge.getPeakRouterCount());
     const limiter = createSharedRateLimiter({
@@ -234,6 +244,8 @@
         createLeavingRule(notices),
         createPauseRule(pauses),
         createColdRule(cold),
+        createSizeRule(endpointMemory),
+        createMemoryRule(endpointMemory),
     ]);
     const outageGate =
         settings.outageReturn === true
@@ -270,6 +282,7 @@
         pace,
         admission: settings.evacuateMs === undefined ? admission : createGuardedAdmission(admission, evacuations),
         cold,
+        endpointMemory,
         health,
         limiter,
         notices,
--- a/src/protocol/Cause.ts
+++ b/src/protocol/Cause.ts
@@ -18,6 +18,8 @@
     ZoneEvacuated = "zone-evacuated",
     /** No endpoint is in the home regions of the route and the team. */
     OutsideHomes = "outside-homes",
+    /** The tokens of the request exceed the memory of every endpoint. */
+    ExceedsMemory = "exceeds-memory",
     EndpointDraining = "endpoint-draining",
     EndpointLost = "endpoint-lost",
     EndpointSlow = "endpoint-slow",
