Refusals: assess the endpoints only when there is no candidate

The refusal for want of capacity assessed all endpoints in every case, which CostAdmissionTests saw: it gives only the candidates. The endpoints are now assessed only to tell full memory from the cold rate.

--- a/src/direct/attemptRefusals.ts
+++ b/src/direct/attemptRefusals.ts
@@ -163,11 +163,9 @@
  */
 export function createNoCapacityRefusal(state: RetryState, exchange: RoutedExchange, context: DirectContext): Refusal {
     const now = readMonotonicMs();
-    const assessed = context.candidates.assessEndpoints(exchange.service, exchange.demand, now);
-    const isExcluded = assessed.every(({ reasons }) => reasons.length > 0);
-    const isMemoryFull =
-        isExcluded && assessed.some(({ reasons }) => reasons.length === 1 && reasons[0] === ExclusionReason.MemoryFull);
-    if (isExcluded && !isMemoryFull) {
+    const hasCandidate = context.candidates.listCandidates(exchange.service, exchange.demand, now).length > 0;
+    const isMemoryFull = !hasCandidate && hasFullMemory(exchange, context, now);
+    if (!hasCandidate && !isMemoryFull) {
         const coldDelayMs = computeRetryDelay(exchange, COLD_RETRY_DELAY_MS);
         return createRefusal(state, Cause.Overload, "all endpoints are cold and at their rate", coldDelayMs);
     }
@@ -177,6 +175,13 @@
     return createRefusal(state, Cause.Overload, detail, delayMs || undefined);
 }
 
+/** Tells whether some endpoint is excluded for nothing but its memory. */
+function hasFullMemory({ service, demand }: RoutedExchange, { candidates }: DirectContext, now: number): boolean {
+    return candidates
+        .assessEndpoints(service, demand, now)
+        .some(({ reasons }) => reasons.length === 1 && reasons[0] === ExclusionReason.MemoryFull);
+}
+
 /**
  * Prolongs the retry delay of a refusal during an outage until the service is likely to be available again.
  * @param refusal - Refusal with the usual delay.
