CLI: explain-placement asks a direct router where a request would go

Operators could see from logs where requests went, but not why a router would choose, hold or refuse one now.

The control procedure explainPlacement takes the head of a request and answers with its route, service, team, scored candidates, the reasons that exclude the other endpoints, and whether it would be sent, wait or be refused, with which delay. The steps that keep a state (admission, admission by cost, outage queue, outage detector, rate limiter, valuer) are divided into a decision and its effects; the preview takes the decision alone. The command prints text or JSON.

CostAdmissionTests, peerFallbackTests and documentStartTests give one more member in their stand-ins; no check of theirs changed.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -7,6 +7,8 @@
 import { computeKeyDigest } from "../utils/digest.js";
 import { ExitCode } from "../utils/program.js";
 import type { AdminClient } from "./AdminClient.js";
+import type { PlacementClient } from "./PlacementClient.js";
+import { explainPlacement } from "./explainPlacement.js";
 
 /** What a command prints, and its exit code. */
 export interface CommandResult {
@@ -31,6 +33,12 @@
     request: string | undefined;
     /** Creates the client; only commands that need a router call it. */
     getClient: () => AdminClient;
+    /** Headers of a request, as `NAME: VALUE`. */
+    headers: readonly string[];
+    /** Key of a team. */
+    teamKey: string | undefined;
+    /** Creates the client of a direct router. */
+    getPlacementClient: () => PlacementClient;
 }
 
 /** A command of the command line. */
@@ -47,6 +55,7 @@
     promote: promoteDocument,
     status: showStatus,
     explain: options => (options.logs.length > 0 ? explainFromLogs(options) : explainPeriod(options)),
+    "explain-placement": explainPlacement,
     teams: listTeams,
     drain: drainHost,
     digest: showDigest,
--- a/src/direct/AttemptLoop.ts
+++ b/src/direct/AttemptLoop.ts
@@ -1,7 +1,7 @@
 import type { Refusal } from "../protocol/index.js";
 import { readMonotonicMs } from "../utils/time.js";
 import { type CrashGuard, createCrashGuard } from "./CrashGuard.js";
-import { type RetryState, SendResult } from "./RetryState.js";
+import { type RetryState, SendResult, createRetryState } from "./RetryState.js";
 import type { DirectContext } from "./DirectContext.js";
 import type { RoutedExchange } from "./DirectExchange.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
@@ -14,7 +14,7 @@
     prolongRetryDelay,
     takeRetry,
 } from "./attemptRefusals.js";
-import { chooseEndpoint } from "./chooseEndpoint.js";
+import { type ChoiceOptions, chooseEndpoint } from "./chooseEndpoint.js";
 import type { OutageGate } from "./outage/index.js";
 import type { ResponseRelay } from "./relay/ResponseRelay.js";
 import { sendToEndpoint } from "./sendToEndpoint.js";
@@ -31,20 +31,13 @@
     context: DirectContext,
     relay: ResponseRelay,
 ): Promise<Refusal | undefined> {
-    const state: RetryState = {
-        triedEndpoints: new Set(),
-        sendCount: 0,
-        connectionFailures: 0,
-        mayHaveRun: false,
-        lastFailure: undefined,
-        isRetryOwed: false,
-    };
+    const state = createRetryState();
     const guard = createCrashGuard(exchange, context);
     const crashRefusal = guard.findRefusal(state);
     if (crashRefusal !== undefined) {
         return crashRefusal;
     }
-    const gate = context.outageGate?.isResponsible(exchange) === true ? context.outageGate : undefined;
+    const gate = findOutageGate(exchange, context);
     const now = readMonotonicMs();
     const outageDelayMs =
         gate === undefined ? context.outages.checkRequest(exchange.service, exchange.deadlineAt - now, now) : undefined;
@@ -58,6 +51,15 @@
     }
 }
 
+/**
+ * Finds the gate that decides about a request during outages; undefined if it is refused during them.
+ * @param exchange - Request.
+ * @param context - Shared parts of the router.
+ */
+export function findOutageGate(exchange: RoutedExchange, context: DirectContext): OutageGate | undefined {
+    return context.outageGate?.isResponsible(exchange) === true ? context.outageGate : undefined;
+}
+
 /** What watches the attempts of a request. */
 interface AttemptGuards {
     guard: CrashGuard;
@@ -163,22 +165,23 @@
     if (late !== undefined) {
         return { refusal: late };
     }
-    const endpoint = chooseOpenEndpoint(open, exchange, context, state);
+    const endpoint = chooseEndpoint(open, buildChoiceOptions(exchange, context, state));
     if (endpoint === undefined) {
         return { refusal: createNoEndpointRefusal(state, exchange, context) };
     }
     return { endpoint };
 }
 
-function chooseOpenEndpoint(
-    open: readonly EndpointRecord[],
-    exchange: RoutedExchange,
-    context: DirectContext,
-    state: RetryState,
-): EndpointRecord | undefined {
+/**
+ * Builds what the choice of an endpoint depends on.
+ * @param exchange - Request.
+ * @param context - Shared parts of the router.
+ * @param state - State of the request.
+ */
+export function buildChoiceOptions(exchange: RoutedExchange, context: DirectContext, state: RetryState): ChoiceOptions {
     const now = readMonotonicMs();
     const isTrial = state.triedEndpoints.size === 0 && exchange.route.maxAttempts > 1;
-    return chooseEndpoint(open, {
+    return {
         host: context.host,
         zone: context.zone,
         load: context.load,
@@ -187,5 +190,5 @@
         isDoubtful: endpoint => context.pauses.isDoubtful(endpoint, isTrial, now),
         now,
         tried: state.triedEndpoints,
-    });
+    };
 }
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -18,6 +18,7 @@
 import { createConnectionList } from "./ConnectionList.js";
 import { type DirectExchange, createDirectExchange } from "./DirectExchange.js";
 import type { HeaderNames } from "./HeaderNames.js";
+import { applyCallerTimeout, readCallerTimeout } from "./readCallerTimeout.js";
 import type { RouteIndex } from "./RouteIndex.js";
 import type { CallerLimits } from "./RoutingDocument.js";
 
@@ -63,9 +64,6 @@
 const STATUS_INTERNAL_ERROR = 500;
 /** Retry-after while no document is loaded, in milliseconds: a router that has just started usually has one by then. */
 const NO_DOCUMENT_RETRY_MS = 300;
-const DEFAULT_DEADLINE_MS = 60_000;
-/** Time reserved for delivering the router's answer before the caller's deadline, in milliseconds. */
-const ANSWER_MARGIN_MS = 20;
 /** Limit of the HTTP parser; the limit in the routing document is usually lower. */
 const MAX_HEADER_BYTES = 65_536;
 /** The parser counts the request line and the separators too, which the limit in the routing document doesn't. */
@@ -197,11 +195,10 @@
         index: RouteIndex,
         requestMemory: RequestMemory,
     ): DirectExchange {
-        const requestedMs = Number(getHeader(request.headers, options.names.deadline) ?? DEFAULT_DEADLINE_MS);
-        const callerTimeoutMs = Number.isFinite(requestedMs) && requestedMs > 0 ? requestedMs : DEFAULT_DEADLINE_MS;
+        const callerTimeoutMs = readCallerTimeout(request.headers, options.names);
         const id = getHeader(request.headers, options.names.attempt) ?? "";
         const exchange = createDirectExchange({ request, response, index, id, callerTimeoutMs, memory: requestMemory });
-        exchange.shortenDeadline(exchange.arrivedAt + Math.max(1, callerTimeoutMs - ANSWER_MARGIN_MS));
+        applyCallerTimeout(exchange);
         watchDisconnect(response, () => {
             exchange.isCallerGone = true;
             exchange.abortController.abort();
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -4,7 +4,7 @@
 import { type RoutedExchange, getUrgency } from "./DirectExchange.js";
 import { type EndpointCandidates, ExclusionReason, type RequestDemand } from "./candidates/index.js";
 import type { ColdEndpoints } from "./cold/index.js";
-import { type CostAdmission, isBlockedForNow } from "./admission/index.js";
+import { type AdmissionStep, type CostAdmission, isBlockedForNow } from "./admission/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 import type { EndpointDirectory } from "./EndpointDirectory.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -26,6 +26,8 @@
         tried: ReadonlySet<string>,
         isFirst: boolean,
     ): Promise<readonly EndpointRecord[] | undefined>;
+    /** Plans the first send of a request like `waitForEndpoints`, without counting or holding it. */
+    previewStep(exchange: RoutedExchange): AdmissionStep;
     /** Records the time from the send to the first event, in milliseconds. */
     recordFirstEvent(service: string, firstMs: number): void;
     /** Records the end of a request at an endpoint, which may free capacity for a queued one. */
@@ -62,6 +64,7 @@
     finish: (open: readonly EndpointRecord[] | undefined) => void;
 }
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
 /** Interval at which load reported by other routers is checked, in milliseconds. */
 const LOAD_POLL_INTERVAL_MS = 25;
 /** One in this many admissions goes to the oldest request, so that the least urgent ones are not starved. */
@@ -84,28 +87,57 @@
     const averageFirstEventMs = new Map<string, number>();
     let admissions = 0;
     const byCost = options.createByCost?.(getAverageFirstEventMs);
-    return { waitForEndpoints, recordFirstEvent, recordRequestEnd, computeUtilization, byCost };
+    return { waitForEndpoints, previewStep, recordFirstEvent, recordRequestEnd, computeUtilization, byCost };
 
     function waitForEndpoints(
         exchange: RoutedExchange,
         tried: ReadonlySet<string>,
         isFirst: boolean,
     ): Promise<readonly EndpointRecord[] | undefined> {
-        const { service, route } = exchange;
+        const { service } = exchange;
         const now = readMonotonicMs();
         const untried = listUntried(service, exchange.demand, tried, now);
         if (isFirst && untried.length > 0 && byCost?.isActive(exchange)) {
             return byCost.waitForEndpoints(exchange);
         }
+        const drawOpen = (): EndpointRecord[] => limiter.drawOpen(untried, service, 1, now);
+        const step = planStep(exchange, tried, isFirst, { untried, drawOpen, now });
+        if ("open" in step) {
+            return Promise.resolve(step.open);
+        }
+        if ("refusal" in step) {
+            return Promise.resolve(undefined);
+        }
+        return addQueued(exchange, tried, isFirst, step.waitMs);
+    }
+
+    function previewStep(exchange: RoutedExchange): AdmissionStep {
+        const { service, demand } = exchange;
+        const now = readMonotonicMs();
+        const untried = listUntried(service, demand, NONE_TRIED, now);
+        if (untried.length > 0 && byCost?.isActive(exchange)) {
+            return byCost.previewStep(exchange);
+        }
+        const drawOpen = (): EndpointRecord[] => limiter.previewOpen(untried, service, now);
+        return planStep(exchange, NONE_TRIED, true, { untried, drawOpen, now });
+    }
+
+    function planStep(
+        exchange: RoutedExchange,
+        tried: ReadonlySet<string>,
+        isFirst: boolean,
+        { untried, drawOpen, now }: { untried: EndpointRecord[]; drawOpen: () => EndpointRecord[]; now: number },
+    ): AdmissionStep {
+        const { service, route } = exchange;
         const needsFreeSlot = isFirst && route.maxPauseMs > 0;
         const hasFreeSlot = (queues.get(service)?.length ?? 0) === 0 && hasCapacity(service);
         if (untried.length === 0 && !candidates.hasProspect(service, exchange.demand, now)) {
-            return Promise.resolve([]);
+            return { open: [] };
         }
         if (!needsFreeSlot || hasFreeSlot) {
-            const open = limiter.drawOpen(untried, service, 1, now);
+            const open = drawOpen();
             if (open.length > 0 || !hasWaitable(service, exchange.demand, tried, untried, now)) {
-                return Promise.resolve(open);
+                return { open };
             }
         }
         const leftMs = Math.min(
@@ -115,11 +147,24 @@
         const urgency = getUrgency(exchange);
         const heldBack = listHeldBack(service, exchange.demand, tried, now);
         if (!hasTurnInTime(service, untried, heldBack, urgency, leftMs)) {
-            return Promise.resolve(undefined);
+            return { refusal: undefined, delayMs: undefined };
         }
+        return { waitMs: leftMs };
+    }
+
+    function addQueued(
+        exchange: RoutedExchange,
+        tried: ReadonlySet<string>,
+        isFirst: boolean,
+        waitMs: number,
+    ): Promise<readonly EndpointRecord[] | undefined> {
+        const { service, route } = exchange;
+        const needsFreeSlot = isFirst && route.maxPauseMs > 0;
+        const urgency = getUrgency(exchange);
+        const now = readMonotonicMs();
         return new Promise(resolve => {
             const entry: QueuedRequest = { exchange, urgency, queuedAt: now, tried, needsFreeSlot, finish };
-            const timer = setTimeout(() => finish(undefined), leftMs);
+            const timer = setTimeout(() => finish(undefined), waitMs);
             exchange.abortController.signal.addEventListener("abort", () => finish(undefined), { once: true });
             queues.set(service, [...(queues.get(service) ?? []), entry]);
             startPolling(service);
--- a/src/direct/RetryState.ts
+++ b/src/direct/RetryState.ts
@@ -29,3 +29,15 @@
     /** The next send still has to be taken from the retry budget, as the request waits for the end of an outage first. */
     isRetryOwed: boolean;
 }
+
+/** Creates the state of a request that has not been sent. */
+export function createRetryState(): RetryState {
+    return {
+        triedEndpoints: new Set(),
+        sendCount: 0,
+        connectionFailures: 0,
+        mayHaveRun: false,
+        lastFailure: undefined,
+        isRetryOwed: false,
+    };
+}
--- a/src/direct/admission/CostAdmission.ts
+++ b/src/direct/admission/CostAdmission.ts
@@ -20,6 +20,7 @@
 import type { EngineCostModel } from "../RoutingDocument.js";
 import type { EndpointCandidates } from "../candidates/index.js";
 import { AdmissionDecision } from "./AdmissionDecision.js";
+import type { AdmissionStep } from "./AdmissionStep.js";
 import { computeReadMs, computeSlotWork } from "./computeSlotWork.js";
 import { isBlockedForNow } from "./isBlockedForNow.js";
 import { findLongestTarget } from "./findLongestTarget.js";
@@ -36,6 +37,8 @@
      * @returns Endpoints with a free slot, none if none is a candidate; undefined if the request is refused or its caller left.
      */
     waitForEndpoints(exchange: RoutedExchange): Promise<readonly EndpointRecord[] | undefined>;
+    /** Plans the first send of a request like `waitForEndpoints`, without counting or holding it. */
+    previewStep(exchange: RoutedExchange): AdmissionStep;
     /** Records that a request ended at an endpoint; its slot goes to the next one that waits here. */
     recordRequestEnd(service: string, endpoint: string): void;
     /** What routers tell each other of their queues. */
@@ -46,7 +49,7 @@
 export interface CostAdmissionOptions {
     load: Pick<LoadTracker, "getLoad">;
     pace: Pick<ConcurrencyLimiter, "getAllowedShare">;
-    limiter: Pick<SharedRateLimiter, "drawOpen">;
+    limiter: Pick<SharedRateLimiter, "drawOpen" | "previewOpen">;
     candidates: Pick<EndpointCandidates, "listCandidates" | "assessEndpoints">;
     /** Gets the average time from a send to the first event, in milliseconds. */
     getFirstEventMs: (service: string) => number;
@@ -76,6 +79,9 @@
     isAlone: boolean;
 }
 
+/** What becomes of a request, with the decision that refuses it. */
+type CostStep = { open: EndpointRecord[] } | { waitMs: number } | { refusal: AdmissionDecision };
+
 /** Free slots of a service at one moment. */
 interface FreeSlots {
     endpoints: EndpointRecord[];
@@ -108,6 +114,7 @@
     return {
         isActive: exchange => exchange.route.maxPauseMs > 0 && findEngine(exchange)?.memoryTokens !== undefined,
         waitForEndpoints,
+        previewStep,
         recordRequestEnd,
         levels,
     };
@@ -117,30 +124,65 @@
         const now = readMonotonicMs();
         const queue = getQueue(service);
         queue.longestTargetMs = findLongestTarget(index.document, service);
-        const value = buildQueuedValue(exchange, queue, now);
-        const level = updateLevel(service, queue, now);
-        const slots = findFreeSlots(exchange, now);
-        const isTurn = queue.waiting.length === 0 && drawRandom() < computeChance(service, slots.count, now);
-        const open = isTurn ? limiter.drawOpen(slots.endpoints, service, 1, now) : [];
-        if (open.length > 0 || !slots.hasCandidates) {
+        const value = buildQueuedValue(exchange, queue.valuer.computeValue, now);
+        const isAbove = value.position > 1 - updateLevel(service, queue, now);
+        const step = planStep(exchange, queue, isAbove, endpoints => limiter.drawOpen(endpoints, service, 1, now), now);
+        if ("open" in step) {
             levels.recordAdmission(service, now);
-            return Promise.resolve(open);
+            return Promise.resolve(step.open);
         }
-        const waitMs = computeLongestWait(exchange, queue, now);
-        const refusal = findRefusal(value.position > 1 - level && slots.usedShare >= MIN_USED_SHARE, waitMs);
-        if (refusal !== undefined) {
-            recordRefusal(exchange, refusal);
+        if ("refusal" in step) {
+            recordRefusal(exchange, step.refusal);
             return Promise.resolve(undefined);
         }
-        return new Promise(resolve => addWaiting(exchange, queue, value, waitMs, resolve));
+        return new Promise(resolve => addWaiting(exchange, queue, value, step.waitMs, resolve));
+    }
+
+    function previewStep(exchange: RoutedExchange): AdmissionStep {
+        const { service, index } = exchange;
+        const now = readMonotonicMs();
+        const queue = queues.get(service) ?? createQueue();
+        const longestTargetMs = findLongestTarget(index.document, service);
+        const { position } = buildQueuedValue(exchange, queue.valuer.previewValue, now);
+        const isAbove = position > 1 - levels.getLevel(service);
+        const step = planStep(
+            exchange,
+            { ...queue, longestTargetMs },
+            isAbove,
+            endpoints => limiter.previewOpen(endpoints, service, now),
+            now,
+        );
+        return "refusal" in step ? { ...step, delayMs: drawReturnDelay(exchange) } : step;
+    }
+
+    function planStep(
+        exchange: RoutedExchange,
+        queue: ServiceQueue,
+        isAbove: boolean,
+        drawOpen: (endpoints: readonly EndpointRecord[]) => EndpointRecord[],
+        now: number,
+    ): CostStep {
+        const slots = findFreeSlots(exchange, now);
+        const isTurn = queue.waiting.length === 0 && drawRandom() < computeChance(exchange.service, slots.count, now);
+        const open = isTurn ? drawOpen(slots.endpoints) : [];
+        if (open.length > 0 || !slots.hasCandidates) {
+            return { open };
+        }
+        const waitMs = computeLongestWait(exchange, queue, now);
+        const refusal = findRefusal(isAbove && slots.usedShare >= MIN_USED_SHARE, waitMs);
+        return refusal === undefined ? { waitMs } : { refusal };
     }
 
-    function buildQueuedValue(exchange: RoutedExchange, queue: ServiceQueue, now: number): QueuedValue {
+    function buildQueuedValue(
+        exchange: RoutedExchange,
+        computeValue: RequestValuer["computeValue"],
+        now: number,
+    ): QueuedValue {
         const { service, demand, route } = exchange;
         const engine = findEngine(exchange) as EngineCostModel;
         const { urgency, tokens } = demand;
         const isReturned = demand.waitedBeforeMs > 0;
-        const value = queue.valuer.computeValue({ urgency, workMs: computeSlotWork(engine, tokens), isReturned });
+        const value = computeValue({ urgency, workMs: computeSlotWork(engine, tokens), isReturned });
         const additionalReadMs = Math.max(0, computeReadMs(engine, tokens) - computeReadMs(engine, undefined));
         const startBy = now + route.targetMs - options.getFirstEventMs(service) - additionalReadMs;
         return { ...value, urgency, isReturned, startBy };
@@ -161,11 +203,14 @@
     }
 
     function recordRefusal(exchange: RoutedExchange, decision: AdmissionDecision): void {
-        const leftMs = exchange.deadlineAt - readMonotonicMs();
-        exchange.admissionDelayMs = computeReturnDelay(leftMs, drawRandom()) ?? 0;
+        exchange.admissionDelayMs = drawReturnDelay(exchange);
         onDecision(exchange.service, decision);
     }
 
+    function drawReturnDelay({ deadlineAt }: RoutedExchange): number {
+        return computeReturnDelay(deadlineAt - readMonotonicMs(), drawRandom()) ?? 0;
+    }
+
     function addWaiting(
         exchange: RoutedExchange,
         queue: ServiceQueue,
@@ -312,7 +357,13 @@
         if (known !== undefined) {
             return known;
         }
-        const queue: ServiceQueue = {
+        const queue = createQueue();
+        queues.set(service, queue);
+        return queue;
+    }
+
+    function createQueue(): ServiceQueue {
+        return {
             waiting: [],
             valuer: createRequestValuer(drawRandom),
             longestTargetMs: 0,
@@ -321,8 +372,6 @@
             isShort: false,
             isAlone: false,
         };
-        queues.set(service, queue);
-        return queue;
     }
 }
 
--- a/src/direct/admission/index.ts
+++ b/src/direct/admission/index.ts
@@ -1,3 +1,4 @@
 export * from "./AdmissionDecision.js";
+export type * from "./AdmissionStep.js";
 export * from "./CostAdmission.js";
 export * from "./isBlockedForNow.js";
--- a/src/direct/chooseEndpoint.ts
+++ b/src/direct/chooseEndpoint.ts
@@ -60,7 +60,12 @@
     return best;
 }
 
-function scoreEndpoint(endpoint: EndpointRecord, options: ChoiceOptions): number {
+/**
+ * Computes the score of an endpoint, of which the lowest is chosen.
+ * @param endpoint - Candidate.
+ * @param options - Load and health of the endpoints.
+ */
+export function scoreEndpoint(endpoint: EndpointRecord, options: ChoiceOptions): number {
     const load = (options.load.getLoad(endpoint.id, options.now) + 1) / Math.max(1, endpoint.slots);
     const failures = FAILURE_WEIGHT * options.health.getFailureRate(endpoint.id, options.now);
     const limit = LIMIT_WEIGHT * options.limiter.getUsedShare(endpoint.id, options.now);
--- a/src/direct/directControl.ts
+++ b/src/direct/directControl.ts
@@ -3,6 +3,7 @@
 import { buildRouter, processProcedure } from "../control/index.js";
 import type { DocumentReply, DocumentRequest } from "./DocumentServer.js";
 import type { EvacuationReport } from "../peers/index.js";
+import { type PlacementQuery, type PlacementReport, placementQuerySchema } from "./placement/index.js";
 import type { EndpointRecord } from "./EndpointRecord.js";
 
 /** Routes and endpoints known to a router, for another router that can't reach the platform. */
@@ -23,12 +24,14 @@
     evacuations?: EvacuationReport | undefined;
 }
 
-/** What the control procedures give to other routers. */
+/** What the control procedures give to other routers, and to operators. */
 export interface DirectControlSource {
     /** Gets the endpoints known to this router, and its routes if they have a higher version than the given one. */
     getSnapshot(version: number): RouterSnapshot;
     /** Answers a request for parts of the document; undefined without a document. */
     answerDocumentRequest(request: DocumentRequest): DocumentReply | undefined;
+    /** Explains where a request would go now; undefined without routes in force. */
+    explainPlacement(query: PlacementQuery): Promise<PlacementReport | undefined>;
 }
 
 /** Maximum number of digests in a request. */
@@ -40,6 +43,9 @@
  */
 export function buildDirectControl(source: DirectControlSource) {
     return buildRouter({
+        explainPlacement: processProcedure
+            .input(placementQuerySchema)
+            .query(({ input }) => source.explainPlacement(input)),
         getDocument: processProcedure
             .input(z.object({ address: z.ipv4(), digests: z.array(z.string()).max(MAX_DIGESTS) }))
             .query(({ input }) => source.answerDocumentRequest(input)),
--- a/src/direct/evacuation/createGuardedAdmission.ts
+++ b/src/direct/evacuation/createGuardedAdmission.ts
@@ -1,3 +1,4 @@
+import { readMonotonicMs } from "../../utils/time.js";
 import type { RequestAdmission } from "../RequestAdmission.js";
 import type { ReadGate } from "./ReadGate.js";
 
@@ -9,6 +10,10 @@
 export function createGuardedAdmission(admission: RequestAdmission, gate: ReadGate): RequestAdmission {
     return {
         ...admission,
+        previewStep: exchange =>
+            gate.isReadNeeded()
+                ? { waitMs: Math.max(0, exchange.deadlineAt - readMonotonicMs()) }
+                : admission.previewStep(exchange),
         async waitForEndpoints(exchange, tried, isFirst) {
             for (;;) {
                 const { signal } = exchange.abortController;
--- a/src/direct/filters/runRequest.ts
+++ b/src/direct/filters/runRequest.ts
@@ -2,7 +2,7 @@
 import { waitForTurn } from "../../utils/waitForTurn.js";
 import type { Filter } from "../../router/pipeline.js";
 import { runAttempts } from "../AttemptLoop.js";
-import { buildRequestDemand } from "../candidates/index.js";
+import { prepareExchange } from "../prepareExchange.js";
 import { createTimeoutRefusal } from "../attemptRefusals.js";
 import type { DirectContext } from "../DirectContext.js";
 import { type DirectExchange, type RoutedExchange, isRouted } from "../DirectExchange.js";
@@ -20,11 +20,7 @@
             throw new Error("expected an exchange with a route");
         }
         context.retries.recordRequest(exchange.service);
-        exchange.sharedParts = context
-            .getSharedParts(exchange.request.headers)
-            .map(part => `${exchange.service}/${part}`);
-        const tokens = context.getTokenCounts(exchange.request.headers);
-        exchange.demand = buildRequestDemand(exchange.route, exchange.team, tokens, exchange.waitedBeforeMs);
+        prepareExchange(exchange, context);
         if (!(await waitForTurn(exchange.response, exchange.abortController.signal))) {
             return exchange.isCallerGone ? undefined : createTimeoutRefusal(false);
         }
--- a/src/direct/outage/OutageGate.ts
+++ b/src/direct/outage/OutageGate.ts
@@ -37,6 +37,8 @@
      * @returns Undefined if its caller left or its time is up.
      */
     waitForTurn(exchange: RoutedExchange, state: RetryState): Promise<OutageAction | undefined>;
+    /** Decides like `waitForTurn`, without holding the request; undefined if it would wait. */
+    previewTurn(exchange: RoutedExchange, state: RetryState): OutageAction | undefined;
     /** Plans the delay of a request that is refused now, in milliseconds; undefined if its caller should not come back. */
     planDelay(exchange: RoutedExchange, state: RetryState): number | undefined;
     /** Records that an endpoint broke off a request, and waits until it is known whether its whole group is out. */
@@ -121,6 +123,11 @@
         isResponsible,
         isHolding: ({ service }) => history.getBegan(service, readMonotonicMs()) !== undefined,
         waitForTurn,
+        previewTurn: (exchange, state) =>
+            getQueue(exchange.service).previewRequest(
+                buildEntry(exchange, state, () => undefined),
+                readMonotonicMs(),
+            ),
         planDelay,
         async recordLoss(exchange, endpoint) {
             const now = readMonotonicMs();
--- /dev/null
+++ b/src/direct/placement/index.ts
@@ -0,0 +1,2 @@
+export * from "./PlacementReport.js";
+export * from "./explainPlacement.js";
--- a/src/direct/startDirectRouter.ts
+++ b/src/direct/startDirectRouter.ts
@@ -45,6 +45,7 @@
 import { createSettledLog } from "./SettledLog.js";
 import { type AdmissionDecision, type CostAdmission, createCostAdmission } from "./admission/index.js";
 import { createRequestAdmission } from "./RequestAdmission.js";
+import { type PlacementQuery, type PlacementReport, explainPlacement } from "./placement/index.js";
 import { buildDirectControl } from "./directControl.js";
 import { createFindRoute } from "./filters/findRoute.js";
 import { createFindTeam } from "./filters/findTeam.js";
@@ -132,7 +133,11 @@
         settings,
         callers,
         metrics: metrics.set,
-        control: buildDirectControl(knowledge),
+        control: buildDirectControl({
+            getSnapshot: version => knowledge.getSnapshot(version),
+            answerDocumentRequest: request => knowledge.answerDocumentRequest(request),
+            explainPlacement: query => explainServedPlacement(query),
+        }),
         isServing: () => !isDraining && getServedIndex() !== undefined && context.directory.countRecords() > 0,
     });
     logger.logEvent(EventId.ProcessStarted, { zone: settings.zone, address: settings.address });
@@ -143,6 +148,11 @@
         },
     };
 
+    async function explainServedPlacement(query: PlacementQuery): Promise<PlacementReport | undefined> {
+        const index = getServedIndex();
+        return index && explainPlacement(query, context, index, () => knowledge.isDocumentStale());
+    }
+
     function getServedIndex(): RouteIndex | undefined {
         return knowledge.isDocumentUsable() ? holder.getIndex() : undefined;
     }
--- a/src/scheduling/OutageDetector.ts
+++ b/src/scheduling/OutageDetector.ts
@@ -9,6 +9,8 @@
      * @returns Undefined if the request may be sent; otherwise the time after which to retry, in milliseconds.
      */
     checkRequest(service: string, leftMs: number, now: number): number | undefined;
+    /** Decides like `checkRequest`, without taking the place of a probe. */
+    previewRequest(service: string, leftMs: number, now: number): number | undefined;
     /**
      * Gets the time after which a caller that is refused now should retry, in milliseconds.
      * @returns Undefined if the service has no outage.
@@ -49,6 +51,8 @@
         recordRejection,
         recordAcceptance: service => void streaks.delete(service),
         checkRequest,
+        previewRequest: (service, leftMs, now) =>
+            isProbeDue(findOutage(service, now), now) ? undefined : getRetryDelay(service, leftMs, now),
         getRetryDelay,
         getBegan: (service, now) => findOutage(service, now)?.beganAt,
     };
@@ -66,13 +70,17 @@
 
     function checkRequest(service: string, leftMs: number, now: number): number | undefined {
         const streak = findOutage(service, now);
-        if (streak !== undefined && now - streak.probedAt >= PROBE_INTERVAL_MS) {
+        if (streak !== undefined && isProbeDue(streak, now)) {
             streak.probedAt = now;
             return undefined;
         }
         return streak && computeRetryDelay(leftMs);
     }
 
+    function isProbeDue(streak: RejectionStreak | undefined, now: number): boolean {
+        return streak !== undefined && now - streak.probedAt >= PROBE_INTERVAL_MS;
+    }
+
     function getRetryDelay(service: string, leftMs: number, now: number): number | undefined {
         return findOutage(service, now) && computeRetryDelay(leftMs);
     }
--- a/src/scheduling/OutageQueue.ts
+++ b/src/scheduling/OutageQueue.ts
@@ -33,6 +33,8 @@
 export interface OutageQueue<Entry extends QueuedOutageRequest> {
     /** Decides about a request that arrives or comes back from a send; undefined if it waits from now on. */
     offerRequest(entry: Entry, now: number): OutageAction | undefined;
+    /** Decides about a request like `offerRequest`, but leaves no trace of it. */
+    previewRequest(entry: Entry, now: number): OutageAction | undefined;
     /** Refuses a request that can't be sent again, with the delay that suits best. */
     refuseRequest(entry: Entry, now: number): OutageAction;
     /** Removes a request whose caller has left. */
@@ -107,7 +109,8 @@
     let credit = 0;
     let windowAt = Number.NEGATIVE_INFINITY;
     return {
-        offerRequest,
+        offerRequest: (entry, now) => applyAction(entry, chooseAction(entry, now, takeCredit), now),
+        previewRequest: (entry, now) => chooseAction(entry, now, hasCredit),
         refuseRequest: (entry, now) => refuse(entry, history.getBegan(service, now) ?? now, now),
         removeRequest: entry => void waiting.delete(entry),
         takeDecisions,
@@ -117,35 +120,50 @@
         },
     };
 
-    function offerRequest(entry: Entry, now: number): OutageAction | undefined {
+    /** Decides about a request; undefined if it waits. */
+    function chooseAction(entry: Entry, now: number, useCredit: (now: number) => boolean): OutageAction | undefined {
         const beganAt = history.getBegan(service, now);
-        return beganAt === undefined ? offerAfterOutage(entry, now) : offerInOutage(entry, beganAt, now);
+        return beganAt === undefined ? chooseAfterOutage(entry, now, useCredit) : chooseInOutage(entry, beganAt, now);
     }
 
-    function offerInOutage(entry: Entry, beganAt: number, now: number): OutageAction | undefined {
+    function applyAction(entry: Entry, action: OutageAction | undefined, now: number): OutageAction | undefined {
+        if (action === undefined) {
+            waiting.add(entry);
+        } else if (!action.isSent) {
+            recordRefusal(action.delayMs, now);
+        } else if (action.isProbe) {
+            startProbe(now);
+        }
+        return action;
+    }
+
+    function chooseInOutage(entry: Entry, beganAt: number, now: number): OutageAction | undefined {
         // A suspicion alone refuses nobody.
         const isSuspected = history.isStalled(service) && computeWaitEnd(entry) > now;
         const step = isSuspected ? { isWaiting: true as const } : plan(entry.request, buildOutlook(beganAt, now));
         const waits = step.isWaiting && now < lastStartAt && waiting.size < options.maxWaiting;
         // A request that can't be served can still tell whether the outage has ended.
         if (isProbeDue(now) && (!waits || entry.sendsLeft > 1)) {
-            return startProbe(now);
+            return { isSent: true, isProbe: true };
         }
         if (waits) {
-            waiting.add(entry);
             return undefined;
         }
-        return step.isWaiting ? refuse(entry, beganAt, now) : recordRefusal(step.delayMs, now);
+        const { delayMs } = step.isWaiting ? planRefusal(entry.request, buildOutlook(beganAt, now)) : step;
+        return { isSent: false, delayMs };
     }
 
-    function offerAfterOutage(entry: Entry, now: number): OutageAction | undefined {
-        if (!isReturning(now) || canBeInTime(entry, now) || (waiting.size === 0 && takeCredit(now))) {
+    function chooseAfterOutage(
+        entry: Entry,
+        now: number,
+        useCredit: (now: number) => boolean,
+    ): OutageAction | undefined {
+        if (!isReturning(now) || canBeInTime(entry, now) || (waiting.size === 0 && useCredit(now))) {
             return { isSent: true, isProbe: false };
         }
         if (computeWaitEnd(entry) <= now || waiting.size >= options.maxWaiting) {
-            return finishAfterOutage(entry, now);
+            return planAfterOutage(entry, now);
         }
-        waiting.add(entry);
         return undefined;
     }
 
@@ -204,13 +222,14 @@
             if (canBeInTime(entry, now) || takeCredit(now)) {
                 decisions.push({ entry, action: { isSent: true, isProbe: false } });
             } else if (computeWaitEnd(entry) <= now) {
-                decisions.push({ entry, action: finishAfterOutage(entry, now) });
+                const action = planAfterOutage(entry, now);
+                decisions.push({ entry, action: action.isSent ? action : recordRefusal(action.delayMs, now) });
             }
         }
         return decisions;
     }
 
-    function finishAfterOutage(entry: Entry, now: number): OutageAction {
+    function planAfterOutage(entry: Entry, now: number): OutageAction {
         const used = 1 - options.countFreeSlots() / Math.max(1, options.countSlots());
         const { request } = entry;
         if (used < REFUSAL_MIN_UTILIZATION && computeLastStart(request, options.getDurations()) >= now) {
@@ -218,7 +237,7 @@
         }
         const canReturn = !request.hasReturned && !request.mayHaveRun && hasRoomForReturns(now);
         // Returns at random times meet the slots that are free by then, instead of each other.
-        return recordRefusal(canReturn ? options.drawRandom() * getMaxDelay(request, now) : undefined, now);
+        return { isSent: false, delayMs: canReturn ? options.drawRandom() * getMaxDelay(request, now) : undefined };
     }
 
     function refuse({ request }: Entry, beganAt: number, now: number): OutageAction {
@@ -269,12 +288,9 @@
 
     /** In each window, in which the other routers don't know what this one sends, it may use its part of the free slots. */
     function takeCredit(now: number): boolean {
-        const endedAt = history.getEnded(service) ?? Number.NEGATIVE_INFINITY;
-        if (windowAt < endedAt || now - windowAt >= options.getSpreadMs()) {
+        if (isWindowOver(now)) {
             windowAt = now;
-            const reserved = RESERVED_SHARE * options.countSlots();
-            const free = Math.max(0, options.countFreeSlots() - reserved);
-            credit = Math.floor(free / options.countRouters() + options.drawRandom());
+            credit = drawCredit();
         }
         if (credit < 1) {
             return false;
@@ -282,4 +298,19 @@
         credit--;
         return true;
     }
+
+    function hasCredit(now: number): boolean {
+        return (isWindowOver(now) ? drawCredit() : credit) >= 1;
+    }
+
+    function isWindowOver(now: number): boolean {
+        const endedAt = history.getEnded(service) ?? Number.NEGATIVE_INFINITY;
+        return windowAt < endedAt || now - windowAt >= options.getSpreadMs();
+    }
+
+    function drawCredit(): number {
+        const reserved = RESERVED_SHARE * options.countSlots();
+        const free = Math.max(0, options.countFreeSlots() - reserved);
+        return Math.floor(free / options.countRouters() + options.drawRandom());
+    }
 }
--- a/src/scheduling/RequestValue.ts
+++ b/src/scheduling/RequestValue.ts
@@ -20,7 +20,10 @@
 
 /** Values the requests of one service by what they cost for what they are worth. */
 export interface RequestValuer {
+    /** Computes the value of a request, and learns from it. */
     computeValue(request: ValuedRequest): RequestValue;
+    /** Computes the value that a request would have, without learning from it. */
+    previewValue(request: ValuedRequest): RequestValue;
 }
 
 /** Worth of a request over that of one of the next lower urgency. The configuration tells only the order. */
@@ -46,20 +49,26 @@
     const works = new Map<number, WorkDistribution>();
     const costs = createWorkDistribution();
     let urgencies: number[] = [];
-    return { computeValue };
+    return { computeValue, previewValue };
 
-    function computeValue({ urgency, workMs, isReturned }: ValuedRequest): RequestValue {
-        const work = getWorks(urgency);
+    function computeValue(request: ValuedRequest): RequestValue {
+        const work = getWorks(request.urgency);
+        const value = previewValue(request);
+        if (!request.isReturned) {
+            work.recordWork(request.workMs);
+            costs.recordWork(value.cost);
+        }
+        return value;
+    }
+
+    function previewValue({ urgency, workMs }: ValuedRequest): RequestValue {
+        const work = works.get(urgency);
         const isUrgencyBlind = drawRandom() < URGENCY_BLIND_SHARE;
         const isSizeBlind = drawRandom() < SIZE_BLIND_SHARE;
-        const sampleMs = isSizeBlind ? (work.estimateWork(drawRandom()) ?? workMs) : workMs;
-        const rank = isUrgencyBlind ? 0 : urgencies.indexOf(urgency);
+        const sampleMs = isSizeBlind ? (work?.estimateWork(drawRandom()) ?? workMs) : workMs;
+        const rank = isUrgencyBlind ? 0 : urgencies.filter(other => other < urgency).length;
         const cost = Math.min(workMs, sampleMs) * WORTH_PER_URGENCY ** rank;
         const position = costs.estimateQuantile(cost, drawRandom()) ?? UNKNOWN_POSITION;
-        if (!isReturned) {
-            work.recordWork(workMs);
-            costs.recordWork(cost);
-        }
         return { cost, position };
     }
 
--- a/src/scheduling/SharedRateLimiter.ts
+++ b/src/scheduling/SharedRateLimiter.ts
@@ -32,6 +32,8 @@
      * @param attempts - Number of requests that wait for the outcome.
      */
     drawOpen<T extends { id: string }>(endpoints: readonly T[], service: string, attempts: number, now: number): T[];
+    /** Draws the endpoints that one attempt would find open, without counting it. */
+    previewOpen<T extends { id: string }>(endpoints: readonly T[], service: string, now: number): T[];
     /**
      * Estimates how many requests this router may send to the endpoints within a time; infinite if one of them has no limit.
      * @param withinMs - Time, in milliseconds.
@@ -114,6 +116,7 @@
         recordLimit,
         recordSend,
         drawOpen,
+        previewOpen: (endpoints, service, now) => drawWithRoom(endpoints, service, 1, now),
         estimateTurns,
         getUsedShare,
         getLimit: endpoint => limits.get(endpoint)?.perSecond,
@@ -153,6 +156,15 @@
             return [...endpoints];
         }
         recordAttempts(service, attempts, now);
+        return drawWithRoom(endpoints, service, attempts, now);
+    }
+
+    function drawWithRoom<T extends { id: string }>(
+        endpoints: readonly T[],
+        service: string,
+        attempts: number,
+        now: number,
+    ): T[] {
         const delayedAttempts = (countAttempts(service, now) * options.getReportDelayMs()) / MS_PER_SECOND;
         const chance = attempts / Math.max(1, delayedAttempts);
         return endpoints.filter(({ id }) => {
--- a/tests/direct/admission/CostAdmissionTests.ts
+++ b/tests/direct/admission/CostAdmissionTests.ts
@@ -29,7 +29,7 @@
     const admission = createCostAdmission({
         load,
         pace: { getAllowedShare: () => undefined },
-        limiter: { drawOpen: endpoints => [...endpoints] },
+        limiter: { drawOpen: endpoints => [...endpoints], previewOpen: endpoints => [...endpoints] },
         candidates: { listCandidates: () => [endpoint], assessEndpoints: () => [] },
         getFirstEventMs: () => 100,
         getSpreadMs: () => 100,
@@ -94,6 +94,18 @@
     },
 );
 
+// Guards against a preview that holds, counts or refuses the request that it is asked about.
+t.test("a preview tells what would become of a request, and leaves no trace", async t => {
+    t.clock.enter();
+    const { admission, load, buildExchange, decisions } = startAdmission();
+    t.strictSame(admission.previewStep(buildExchange({})), { waitMs: 300 });
+    t.match(admission.previewStep(buildExchange({ leftMs: 0 })), { refusal: "no-time", delayMs: 0 });
+    load.endRequest("i-1");
+    t.match(admission.previewStep(buildExchange({})), { open: [{ id: "i-1" }] });
+    t.strictSame(decisions, []);
+    t.match(await admission.waitForEndpoints(buildExchange({})), [{ id: "i-1" }], "none waits before it");
+});
+
 t.test("a refusal tells a delay that callers honour, and none when no time is left", async t => {
     t.clock.enter();
     const { admission, buildExchange, decisions, setDraw } = startAdmission();
--- a/tests/direct/documentStartTests.ts
+++ b/tests/direct/documentStartTests.ts
@@ -51,6 +51,7 @@
             endpointRevision: 9,
             endpointAgeMs: 0,
         }),
+        explainPlacement: () => Promise.resolve(undefined),
         answerDocumentRequest: request => documents.answerRequest(request),
     });
     const server = http.createServer();
--- a/tests/direct/endpointMemory/memoryAdmissionTests.ts
+++ b/tests/direct/endpointMemory/memoryAdmissionTests.ts
@@ -73,6 +73,16 @@
     t.strictSame(open, [RECORD]);
 });
 
+t.test("a preview tells whether a request would wait for memory, and holds nothing", async t => {
+    t.clock.enter();
+    const { waitForEndpoints, send, admission } = startMemoryAdmission();
+    send(500);
+    t.strictSame(admission.previewStep(buildExchange(600)), { waitMs: 400 });
+    t.strictSame(admission.previewStep(buildExchange(MEMORY + 1)), { open: [] });
+    t.strictSame(admission.previewStep(buildExchange(300)), { open: [RECORD] });
+    t.strictSame(await waitForEndpoints(buildExchange(300)), [RECORD], "none waits before it");
+});
+
 // Guards against a caller that returns with a request that never fits, and one that is told of cold endpoints instead.
 t.test("a request that never fits is refused at once without a delay, one that waited in vain with one", async t => {
     t.clock.enter();
--- a/tests/direct/peerFallbackTests.ts
+++ b/tests/direct/peerFallbackTests.ts
@@ -45,6 +45,7 @@
         server,
         buildDirectControl({
             getSnapshot: () => peerSnapshot,
+            explainPlacement: () => Promise.resolve(undefined),
             answerDocumentRequest: request => documentServer.answerRequest(request),
         }),
         [KEY],
