--- a/src/scheduling/OutagePlan.ts
+++ b/src/scheduling/OutagePlan.ts
@@ -44,13 +44,16 @@
 const DELAY_SHARES = [1, 0.75, 0.5, 0.25];
 /** Worth of a late answer, in answers in time: callers give 0.3 to 0.5. */
 const LATE_WORTH = 0.4;
-/** Cost of a request that comes back and is refused again, in answers in time. */
-const SECOND_REFUSAL_COST = 0.3;
-/** Cost of holding a request that is not served in the end, in answers in time a millisecond, and its bound: nearly that of a second refusal. */
-const HELD_COST_PER_MS = 0.3 / 1_000;
-const MAX_HELD_COST = 0.3;
-/** Share of the target for which a request may be held without a cost. */
-const FREE_HOLD_SHARE = 1 / 8;
+/** Cost of a request that comes back and is refused again, in answers in time: its caller has waited for a late answer in vain. */
+const SECOND_REFUSAL_COST = LATE_WORTH;
+/** Time after which callers leave at the earliest when nothing comes, in milliseconds. */
+const MIN_CALLER_GAP_MS = 2_000;
+/**
+ * Cost of holding a request that is not served in the end, in answers in time a millisecond. Callers give up a late answer for
+ * the gap after which they leave, so a wait of that length in vain costs as much.
+ */
+const HELD_COST_PER_MS = LATE_WORTH / MIN_CALLER_GAP_MS;
+const MAX_HELD_COST = LATE_WORTH;
 /** Durations that are expected before any outage was seen, in milliseconds: of a crashed rank, and of a lost zone. */
 const USUAL_DURATIONS_MS = [2_000, 2_500, 3_000, 5_000, 5_500, 6_000, 6_500];
 /** Weight of each of these, in outages that were seen. */
@@ -200,15 +203,13 @@
     return Math.max(endAt, returnsAt) + outlook.firstEventMs <= request.targetAt ? 1 : LATE_WORTH;
 }
 
-function computeHeldCost({ targetMs, hasBegun }: OutageRequest, heldMs: number): number {
+function computeHeldCost({ hasBegun }: OutageRequest, heldMs: number): number {
     if (hasBegun) {
         return 0;
     }
-    return Math.min(MAX_HELD_COST, Math.max(0, heldMs - targetMs * FREE_HOLD_SHARE) * HELD_COST_PER_MS);
+    return Math.min(MAX_HELD_COST, Math.max(0, heldMs) * HELD_COST_PER_MS);
 }
 
-/** Shortest time without an event after which a caller leaves, in milliseconds. */
-const MIN_CALLER_GAP_MS = 2_000;
 /** Targets, and longest pauses between events, that callers wait for an event. */
 const GAP_TARGETS = 4;
 const GAP_PAUSES = 8;
