--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -4,3 +4,4 @@
 export * from "./HeaderNames.js";
 export * from "./RoutingDocument.js";
 export * from "./startDirectRouter.js";
+export type { DirectPlatform } from "./wiring/index.js";
--- /dev/null
+++ b/src/direct/wiring/index.ts
@@ -0,0 +1,2 @@
+export * from "./DirectPlatform.js";
+export * from "./createDirectContext.js";
