--- a/src/direct/DirectContext.ts
+++ b/src/direct/DirectContext.ts
@@ -38,7 +38,7 @@
     notices: EndpointNotices;
     /** Endpoints that turn requests away for a time. */
     pauses: EndpointPauses;
-    /** Endpoints that stand few requests after their start. */
+    /** Endpoints that are cold after their start. */
     cold: ColdEndpoints;
     /** Memory of the engines, as far as requests tell their tokens. */
     endpointMemory: EndpointMemory;
--- a/src/direct/DirectMetrics.ts
+++ b/src/direct/DirectMetrics.ts
@@ -39,7 +39,7 @@
     countRefusedParts(): number;
     /** Counts the endpoints that name a limit on the rate of requests. */
     countLimited(): number;
-    /** Counts the endpoints that stand few requests after their start. */
+    /** Counts the endpoints that are cold after their start. */
     countCold(): number;
     /** Counts the endpoints that hold requests of this router whose tokens are known. */
     countMemoryInUse(): number;
--- a/src/direct/RequestAdmission.ts
+++ b/src/direct/RequestAdmission.ts
@@ -11,7 +11,7 @@
 
 /**
  * Queues requests while the load of a service's endpoints is limited, or while all endpoints are at the rates that they have
- * named or that cold ones stand, and admits the most urgent ones first.
+ * named or that cold ones tolerate, and admits the most urgent ones first.
  */
 export interface RequestAdmission {
     /**
@@ -203,7 +203,7 @@
         return candidates.listCandidates(service, demand, now).filter(({ id }) => !tried.has(id));
     }
 
-    /** Lists the endpoints that a request may be sent to once they stand another one. */
+    /** Lists the endpoints that a request may be sent to once they have room for it. */
     function listHeldBack(
         service: string,
         demand: RequestDemand,
--- a/src/direct/RoutingDocument.ts
+++ b/src/direct/RoutingDocument.ts
@@ -90,7 +90,7 @@
     cold?: ColdBehavior | undefined;
 }
 
-/** How long an endpoint is cold after it starts, and what it stands meanwhile. */
+/** How long an endpoint is cold after it starts, and how many requests it tolerates meanwhile. */
 export interface ColdBehavior {
     startMs: number;
     /** Requests per second. */
--- a/src/direct/admission/isBlockedForNow.ts
+++ b/src/direct/admission/isBlockedForNow.ts
@@ -5,7 +5,7 @@
 
 /**
  * Tells whether a request that has no candidate will have one without any change of the service: some endpoint is excluded
- * only because it has taken as much as it stands now. Such a request waits; others are refused at once.
+ * only because it has taken as many requests as it can hold now. Such a request waits; others are refused at once.
  * @param candidates - Candidates of the router.
  * @param service - Service of the request.
  * @param demand - What the request needs.
--- a/src/direct/candidates/ExclusionReason.ts
+++ b/src/direct/candidates/ExclusionReason.ts
@@ -8,7 +8,7 @@
     Evacuated = "evacuated",
     /** Its region is none of the home regions of the route or the team. */
     OutsideHomes = "outside-homes",
-    /** It is cold, and this router has used its share of what it stands. */
+    /** It is cold, and this router has used its share of the requests that it tolerates. */
     Cold = "cold",
     /** The requests that it holds leave no memory for this one. */
     MemoryFull = "memory-full",
--- a/src/direct/cold/ColdEndpoints.ts
+++ b/src/direct/cold/ColdEndpoints.ts
@@ -13,7 +13,7 @@
 import { ColdSource } from "./ColdSource.js";
 
 /**
- * Knows which endpoints are cold, and keeps this router's sends to them within its share of what they stand. All times are
+ * Knows which endpoints are cold, and keeps this router's sends to them within its share of the requests that they tolerate. All times are
  * monotonic, in milliseconds.
  */
 export interface ColdEndpoints {
--- a/src/scheduling/coldAllowance.ts
+++ b/src/scheduling/coldAllowance.ts
@@ -4,9 +4,9 @@
 export interface ColdRate {
     /** Requests per second that a cold endpoint handles. */
     perSecond: number;
-    /** Factor on that rate which an endpoint stands in any one second. */
+    /** Factor on that rate that an endpoint tolerates in any one second. */
     overshoot: number;
-    /** Requests that it stands beyond that. */
+    /** Requests that it tolerates beyond that. */
     slack: number;
 }
 
--- a/tests/direct/cold/coldAdmissionTests.ts
+++ b/tests/direct/cold/coldAdmissionTests.ts
@@ -11,7 +11,7 @@
 const RECORD = buildEndpoint("i-1");
 const POLL_MS = 25;
 
-/** Creates the admission of the only router, before one endpoint that is cold and stands one request a second. */
+/** Creates the admission of the only router, before one endpoint that is cold and tolerates one request a second. */
 function startColdAdmission(coldMs: number) {
     const directory = createEndpointDirectory({
         onChange: () => undefined,
@@ -56,7 +56,7 @@
     } as unknown as RoutedExchange;
 }
 
-// Guards against a refusal that names no endpoint although one stands another request in time.
+// Guards against a refusal that names no endpoint although one has room for another request in time.
 t.test("a request waits for the turn of a cold endpoint that comes in time", async t => {
     t.clock.enter();
     const { send, waitForEndpoints } = startColdAdmission(60_000);
--- a/tests/direct/cold/coldEndpointsTests.ts
+++ b/tests/direct/cold/coldEndpointsTests.ts
@@ -9,7 +9,7 @@
 /** Wall-clock time of the tests, in milliseconds. */
 const WALL_CLOCK = 1_000_000;
 
-/** Creates the cold endpoints of the only router, where a cold endpoint stands two requests a second. */
+/** Creates the cold endpoints of the only router, where a cold endpoint tolerates two requests a second. */
 function createCold(change: Partial<ColdEndpointsOptions> = {}) {
     const lines: string[] = [];
     const cold = createColdEndpoints({
--- a/tests/direct/cold/coldPlay.ts
+++ b/tests/direct/cold/coldPlay.ts
@@ -41,7 +41,7 @@
 export const ROUTERS = 46;
 export const COLD_SETTINGS = { overshoot: 1.5, slack: 5 };
 export const COLD_BEHAVIOR = { startMs: 3_000, perSecond: 18 };
-/** Requests that an endpoint with these figures stands in any second. */
+/** Requests that an endpoint with these figures tolerates in any second. */
 export const BOUND = 32;
 export const SECOND_MS = 1_000;
 const STEP_MS = 5;
--- a/tests/direct/cold/coldPlayTests.ts
+++ b/tests/direct/cold/coldPlayTests.ts
@@ -27,7 +27,7 @@
     return worst;
 }
 
-// The failure that these tests guard against: each router keeps to a rate of its own, but their sum exceeds what the endpoint stands.
+// The failure that these tests guard against: each router keeps to a rate of its own, but their sum exceeds what the endpoint tolerates.
 
 t.test("with full demand the routers together use at least nine tenths of the bound and never exceed it", t => {
     const sends = playColdEndpoints({
