--- a/tests/direct/admission/CostAdmissionTests.ts
+++ b/tests/direct/admission/CostAdmissionTests.ts
@@ -110,7 +110,7 @@
     t.clock.enter();
     const { admission, buildExchange, decisions, setDraw } = startAdmission();
     const state = { mayHaveRun: false } as RetryState;
-    const context = { candidates: { assessEndpoints: () => [{ reasons: [] }] } } as unknown as DirectContext;
+    const context = { candidates: { listCandidates: () => [{}] } } as unknown as DirectContext;
     const delays: number[] = [];
     for (const draw of [0, 0.5, 1]) {
         setDraw(draw);
