--- a/review/standins-2/replica.js
+++ b/review/standins-2/replica.js
@@ -5,10 +5,14 @@
 
 const EVENT_MS = 100;
 
-/** Starts a replica that answers after `workMs` with its name; `runs` lists what it has run. */
+/**
+ * Starts a replica that answers after `workMs` with its name; `runs` lists what it has run. After `leave`, its answers say that it
+ * leaves.
+ */
 export async function startPlainReplica(address, name, { workMs, body = name }) {
     const runs = [];
     const sockets = new Set();
+    let isLeaving = false;
     const server = http.createServer((request, response) => {
         const id = request.headers["attempt-id"];
         const run = { id, startedAt: Date.now(), path: request.url, isCut: false, isDone: false };
@@ -20,7 +24,8 @@
                     return;
                 }
                 run.isDone = true;
-                response.writeHead(200, { "attempt-id": id, "server-stamp": `${name}.${id}` }).end(body);
+                const leaving = isLeaving ? { "server-leaving": "1" } : {};
+                response.writeHead(200, { "attempt-id": id, "server-stamp": `${name}.${id}`, ...leaving }).end(body);
             }, workMs);
         });
         response.on("error", () => undefined);
@@ -34,6 +39,7 @@
     return {
         name,
         runs,
+        leave: () => (isLeaving = true),
         address: `${address}:${server.address().port}`,
         close() {
             server.close();
